Rename mulleinrun to wheelpier and move the settings reader into the library

Seen: the inherited module under its old name. Changed names only, and moved the adapter's settings.rs to src/settings.rs, so that proxy and drill share it.

--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -2,7 +2,6 @@
 //!
 //! Nothing is decided here: names become numbers, seconds become microseconds, and back.
 
-mod settings;
 mod wire;
 
 use std::io::{self, BufRead, BufReader, BufWriter, Write};
@@ -37,7 +36,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
-            eprintln!("mulleinrun-adapter: {problem}");
+            eprintln!("wheelpier-drill: {problem}");
             ExitCode::FAILURE
         }
     }
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -1,13 +1,13 @@
 //! The line protocol: one `Wire` for the process, one router for each instance.
 
-use crate::settings::{self, micros, Reading};
 use base64::{engine::general_purpose::STANDARD, Engine};
-use mulleinrun::{
+use std::collections::{BTreeMap, HashMap};
+use std::fmt::Write;
+use wheelpier::settings::{self, micros, Reading};
+use wheelpier::{
     Action, Event, HostEntry, HostId, HostState, ListKind, Outcome, Position, Reply, Report, Request,
     RequestId, Role, Router, SessionId, Time,
 };
-use std::collections::{BTreeMap, HashMap};
-use std::fmt::Write;
 
 const MAX_LISTS: u64 = 16;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,12 +1,12 @@
-//! mulleinrun makes the decisions of a gateway that spreads reads over the replicas of a database.
+//! wheelpier makes the decisions of a gateway that spreads reads over the replicas of a database.
 //!
 //! A [`Router`] is a state machine without I/O: it is told what happened and when, and answers with
 //! the [`Action`]s to carry out. Its ordinary path is the session token of BEE-19044: a read goes to
 //! a replica whose applied position has reached the session's last write, else to the primary.
 //!
 //! ```
-//! use mulleinrun::{Action, Event, HostEntry, HostId, HostState, ListKind, Request, RequestId};
-//! use mulleinrun::{Router, Settings, Time};
+//! use wheelpier::{Action, Event, HostEntry, HostId, HostState, ListKind, Request, RequestId};
+//! use wheelpier::{Router, Settings, Time};
 //!
 //! let mut router = Router::new(Settings::example(), 7).expect("the settings are sensible");
 //! let mut actions = Vec::new();
@@ -24,6 +24,7 @@
 mod check;
 mod interface;
 mod policy;
+pub mod settings;
 
 pub use interface::*;
 pub use policy::Router;
--- a/adapter/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,7 @@
-//! The wire's settings object, turned into the library's.
+//! The operator's settings object, turned into the module's: the proxy reads it from its configuration, the
+//! drill from the simulator's first message.
 
-use mulleinrun::{Class, Freshness, KeyScope, ListRole, Repeat, Reports, Settings, Time, WhenBehind};
+use crate::interface::{Class, Freshness, KeyScope, ListRole, Repeat, Reports, Settings, Time, WhenBehind};
 use serde::Deserialize;
 
 /// Seconds of the wire as whole microseconds.
@@ -14,7 +15,7 @@
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-pub struct Params {
+struct Params {
     balancers: u32,
     #[serde(default)]
     goal: Goal,
@@ -205,16 +206,23 @@
     Off,
 }
 
-/// What the wire needs to read reports and stamps.
-#[derive(Clone, Default)]
+/// What it takes to read reports and stamps.
+#[derive(Clone, Debug, Default)]
 pub struct Reading {
+    /// The moment from which positions are counted, in microseconds.
     pub zero: i64,
+    /// Place of the position among a report's values.
     pub position_field: Option<usize>,
+    /// Place of the role among a report's values.
     pub role_field: Option<usize>,
+    /// How many values a report has.
     pub fields: usize,
 }
 
 /// Reads the settings of one instance.
+///
+/// # Errors
+/// When the text is no settings object; the message names what is wrong with it.
 pub fn read(text: &str) -> Result<(Settings, Reading), String> {
     let p: Params = serde_json::from_str(text).map_err(|e| e.to_string())?;
     if p.family_info.freshness.len() != p.grades.len() {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A router with a scripted world around it.
 #![allow(dead_code)]
 
-use mulleinrun::*;
+use wheelpier::*;
 
 pub const MS: i64 = 1_000;
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use mulleinrun::*;
+use wheelpier::*;
 
 /// A host that turns requests away at once looks idle; without its rest it would draw the next ones too.
 #[test]
--- a/tests/legal.rs
+++ b/tests/legal.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use mulleinrun::*;
 use std::collections::BTreeMap;
+use wheelpier::*;
 
 struct Dice(u64);
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use mulleinrun::*;
+use wheelpier::*;
 
 #[test]
 fn a_held_request_is_answered_before_its_client_leaves() {
