--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -194,12 +194,6 @@
     })
 }
 
-/// A session's key as a number; FNV-1a, so that it is the same in every process.
-fn session(key: &str) -> SessionId {
-    let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    SessionId(key.bytes().fold(0xcbf2_9ce4_8422_2325, step))
-}
-
 impl Wire {
     /// The reply of the batch that has just ended.
     pub fn reply(&self) -> &str {
@@ -386,7 +380,7 @@
     let _write = f.flag("write")?;
     let _cost = f.maybe_number("costGuess")?;
     let ttl = f.seconds("ttl")?;
-    let session = f.maybe("clientKey")?.map(session);
+    let session = f.maybe("clientKey")?.map(SessionId::of);
     if instance.requests.contains_key(handle) {
         return Err(f.wrong("handle", "already in use"));
     }
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,242 @@
+//! The only place that reads the environment and the configuration file.
+
+use crate::interface::{HostState, Settings};
+use crate::net::discovery::{Listing, RawListing};
+use crate::settings::{self, Reading};
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What is wrong with the configuration; names the faulty key.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("configuration key `{key}`: {problem}")]
+pub struct ConfigError {
+    /// The faulty key.
+    pub key: String,
+    /// What is wrong with it.
+    pub problem: String,
+}
+
+fn wrong(key: &str, problem: impl ToString) -> ConfigError {
+    ConfigError { key: key.to_owned(), problem: problem.to_string() }
+}
+
+/// What the proxy may use up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Descriptors for client connections.
+    pub clients: usize,
+    /// Descriptors for connections to ledger hosts.
+    pub upstream: usize,
+}
+
+/// Names and spans that the network code needs from the settings.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// Class names, in the module's order.
+    pub classes: Vec<String>,
+    /// Tenant names, in the module's order.
+    pub tenants: Vec<String>,
+    /// Zone names, in the module's order.
+    pub zones: Vec<String>,
+}
+
+/// All that a proxy is told at its start.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The proxy's own name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// Seed of the module's random numbers.
+    pub seed: u64,
+    /// Shares of the descriptors.
+    pub limits: Limits,
+    /// The ledger hosts as last known.
+    pub known: Option<Listing>,
+    /// The module's settings.
+    pub settings: Settings,
+    /// How reports and stamps are read.
+    pub reading: Reading,
+    /// Names of classes, tenants and zones.
+    pub names: Names,
+    /// A connection to a ledger host comes up within this time or has failed.
+    pub connect_timeout: Duration,
+    /// An idle pooled connection is retired after this time, well before its host closes it.
+    pub retire_after: Duration,
+    /// Requests held at most.
+    pub most_held: usize,
+    /// Attempts of a request at most.
+    pub max_attempts: u32,
+}
+
+#[derive(Deserialize)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: Option<serde_json::Value>,
+    #[serde(default)]
+    limits: FileLimits,
+    known: Option<RawListing>,
+    settings: serde_json::Value,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct FileLimits {
+    cores: Option<f64>,
+    memory_mb: Option<f64>,
+    sockets: Option<usize>,
+}
+
+#[derive(Deserialize)]
+struct Named {
+    name: String,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct SettingsNames {
+    areas: Vec<String>,
+    grades: Vec<Named>,
+    customers: Vec<Named>,
+    limits: SettingsLimits,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct SettingsLimits {
+    connect_timeout: f64,
+    keepalive: f64,
+    most_held: usize,
+    max_attempts: u32,
+}
+
+impl Default for SettingsLimits {
+    fn default() -> Self {
+        Self { connect_timeout: 0.25, keepalive: 15.0, most_held: 30_000, max_attempts: 8 }
+    }
+}
+
+/// Descriptors that are no connections: standard streams, poller, signals, listener, discovery, and spare.
+const RESERVED: usize = 32;
+/// Share of the connections that goes to ledger hosts.
+const UPSTREAM_SHARE: f64 = 0.5;
+/// Fewer descriptors than this serve nobody.
+const LEAST_SOCKETS: usize = 64;
+
+impl Config {
+    /// Reads the environment and the file that it names.
+    ///
+    /// # Errors
+    /// When something is missing or not sensible.
+    pub fn from_env() -> Result<Self, ConfigError> {
+        let vars = ["GW_CONFIG", "GW_NAME", "GW_LISTEN", "GW_DISCOVERY"];
+        let env: HashMap<&str, String> =
+            vars.iter().filter_map(|name| Some((*name, std::env::var(name).ok()?))).collect();
+        let path = env.get("GW_CONFIG").ok_or_else(|| wrong("GW_CONFIG", "is not set"))?;
+        let text = std::fs::read_to_string(path).map_err(|e| wrong("GW_CONFIG", e))?;
+        Self::read(&text, |name| env.get(name).cloned())
+    }
+
+    /// Reads the text of a configuration file; what `env` gives goes before it.
+    ///
+    /// # Errors
+    /// When something is missing or not sensible.
+    pub fn read(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+        let file: File = serde_json::from_str(text).map_err(|e| wrong(&faulty(&e.to_string()), e))?;
+        let (name, _) = given("name", env("GW_NAME"), "GW_NAME", file.name)?;
+        let (listen, key) = given("listen", env("GW_LISTEN"), "GW_LISTEN", file.listen)?;
+        let listen = address(&listen, key)?;
+        let (discovery, key) = given("discovery", env("GW_DISCOVERY"), "GW_DISCOVERY", file.discovery)?;
+        let discovery = address(&discovery, key)?;
+        let seed = seed(file.seed.as_ref())?;
+        let text = file.settings.to_string();
+        let (settings, reading) = settings::read(&text).map_err(|e| wrong("settings", e))?;
+        crate::check::check(&settings).map_err(|e| wrong(&format!("settings.{}", e.key), e.problem))?;
+        let more: SettingsNames = serde_json::from_value(file.settings).map_err(|e| wrong("settings", e))?;
+        let seconds = |key: &str, value: f64| match Duration::try_from_secs_f64(value) {
+            Ok(span) if !span.is_zero() => Ok(span),
+            _ => Err(wrong(key, "must be a number above zero")),
+        };
+        let keepalive = seconds("settings.limits.keepalive", more.limits.keepalive)?;
+        if more.limits.most_held == 0 {
+            return Err(wrong("settings.limits.mostHeld", "must be at least 1"));
+        }
+        for (key, value) in [("limits.cores", file.limits.cores), ("limits.memory_mb", file.limits.memory_mb)]
+        {
+            if value.is_some_and(|v| v.is_nan() || v <= 0.0) {
+                return Err(wrong(key, "must be a number above zero"));
+            }
+        }
+        let sockets = file.limits.sockets.unwrap_or(1024);
+        if sockets < LEAST_SOCKETS {
+            return Err(wrong("limits.sockets", format!("must be at least {LEAST_SOCKETS}")));
+        }
+        let connections = sockets - RESERVED;
+        let upstream = (connections as f64 * UPSTREAM_SHARE) as usize;
+        let names = Names {
+            classes: more.grades.into_iter().map(|g| g.name).collect(),
+            tenants: more.customers.into_iter().map(|c| c.name).collect(),
+            zones: more.areas,
+        };
+        let known = match file.known {
+            None => None,
+            Some(raw) => Some(raw.check(&names.zones).map_err(|e| wrong("known", e))?),
+        };
+        Ok(Self {
+            name,
+            listen,
+            discovery,
+            seed,
+            limits: Limits { clients: connections - upstream, upstream },
+            known: known.filter(|list| list.entries.iter().any(|e| e.state != HostState::Deleted)),
+            settings,
+            reading,
+            names,
+            connect_timeout: seconds("settings.limits.connectTimeout", more.limits.connect_timeout)?,
+            // Two thirds: a request written as the host closes would end as a reset.
+            retire_after: keepalive * 2 / 3,
+            most_held: more.limits.most_held,
+            max_attempts: more.limits.max_attempts,
+        })
+    }
+}
+
+/// The key that a message of serde names in backquotes, if any.
+fn faulty(message: &str) -> String {
+    message.split('`').nth(1).filter(|key| !key.contains(' ')).unwrap_or("GW_CONFIG").to_owned()
+}
+
+fn given(
+    key: &'static str,
+    env: Option<String>,
+    env_key: &'static str,
+    file: Option<String>,
+) -> Result<(String, &'static str), ConfigError> {
+    let value = env.map(|value| (value, env_key)).or(file.map(|value| (value, key)));
+    let value = value.ok_or_else(|| wrong(key, format!("is missing, and so is {env_key}")))?;
+    if value.0.is_empty() {
+        return Err(wrong(value.1, "is empty"));
+    }
+    Ok(value)
+}
+
+fn address(text: &str, key: &str) -> Result<SocketAddr, ConfigError> {
+    text.parse().map_err(|_| wrong(key, format!("`{text}` is no address with a port")))
+}
+
+/// Sixteen hexadecimal digits, or a number.
+fn seed(value: Option<&serde_json::Value>) -> Result<u64, ConfigError> {
+    let seed = match value {
+        Some(serde_json::Value::String(text)) => u64::from_str_radix(text, 16).ok(),
+        Some(serde_json::Value::Number(number)) => number.as_u64(),
+        None => Some(0),
+        _ => None,
+    };
+    seed.ok_or_else(|| wrong("seed", "must be up to 16 hexadecimal digits"))
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -22,6 +22,14 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SessionId(pub u64);
 
+impl SessionId {
+    /// The session of a key: FNV-1a, so that it is the same in every process.
+    pub fn of(key: &str) -> Self {
+        let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+        Self(key.bytes().fold(0xcbf2_9ce4_8422_2325, step))
+    }
+}
+
 /// How fresh the data behind an answer has to be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Freshness {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,9 +22,34 @@
 #![warn(missing_docs)]
 
 mod check;
+pub mod config;
+pub mod counters;
 mod interface;
+pub mod net;
+pub mod pgwire;
 mod policy;
 pub mod settings;
 
 pub use interface::*;
 pub use policy::Router;
+
+/// Why the proxy could not serve.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    /// The configuration is at fault.
+    #[error(transparent)]
+    Config(#[from] config::ConfigError),
+    /// A socket or a signal could not be had.
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+}
+
+/// Runs the proxy as its environment says, on one thread, until SIGTERM.
+///
+/// # Errors
+/// When the configuration is at fault or the address cannot be had.
+pub fn run_from_env() -> Result<(), RunError> {
+    let config = config::Config::from_env()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    Ok(runtime.block_on(net::run(config))?)
+}
--- /dev/null
+++ b/src/net/clock.rs
@@ -0,0 +1,43 @@
+//! One clock for the module and the positions: Unix time, read once, then advanced monotonically.
+
+use crate::interface::Time;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
+
+/// The clock; copies agree.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    started: Instant,
+    unix: Duration,
+}
+
+impl Clock {
+    /// Reads the system's clock, once.
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { started: Instant::now(), unix }
+    }
+
+    /// A moment in the module's time.
+    pub fn at(&self, moment: Instant) -> Time {
+        let since = moment.saturating_duration_since(self.started);
+        Time((self.unix + since).as_micros() as i64)
+    }
+
+    /// The present in the module's time.
+    pub fn now(&self) -> Time {
+        self.at(Instant::now())
+    }
+
+    /// A moment of the module's time; the start for anything before it.
+    pub fn moment(&self, time: Time) -> Instant {
+        let since = time.0.saturating_sub(self.unix.as_micros() as i64).max(0);
+        // Far beyond any wait here, and within what a timer takes.
+        self.started + Duration::from_micros(since as u64).min(Duration::from_secs(86_400 * 365))
+    }
+}
+
+/// The system's time in Unix milliseconds, for what others tell in it.
+pub fn unix_ms() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1e3
+}
--- /dev/null
+++ b/src/net/core.rs
@@ -0,0 +1,373 @@
+//! The module's actor: it alone owns the router, the request table and the router's timers.
+
+use super::clock::Clock;
+use super::discovery::{Listed, Listing};
+use super::frontend::{Answer, Mail, Request, Statement};
+use super::upstream::{self, AttemptEnd, Command, Peer, Probe};
+use crate::config::Config;
+use crate::counters::{Counters, Ended};
+use crate::interface::{
+    Action, Event as Told, HostEntry, HostId, HostState, ListKind, Outcome, Reply, RequestId, Time,
+};
+use crate::policy::Router;
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::future::poll_fn;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+use tokio_util::time::{delay_queue::Key, DelayQueue};
+
+/// An answer must be with its client before the time that the client gave: this much is kept for the way
+/// there and back and for the timers' own lateness.
+const WAY_BACK: Duration = Duration::from_millis(15);
+/// A request that has no answer by then gets one from here, so long before its client leaves.
+const LAST_CALL: Duration = Duration::from_millis(5);
+
+/// What the module's actor is told.
+#[derive(Debug)]
+pub(crate) enum Event {
+    /// A client asks.
+    Arrival(Box<Arrival>),
+    /// A client has left before its answer.
+    ClientLeft(RequestId),
+    /// An attempt has ended.
+    Ended(Box<AttemptEnd>),
+    /// A probe has ended.
+    Probed(Probe),
+    /// The list has changed.
+    List(Listing),
+}
+
+#[derive(Debug)]
+pub(crate) struct Arrival {
+    pub id: RequestId,
+    pub request: Request,
+    pub arrived: Instant,
+    pub client: mpsc::Sender<Mail>,
+}
+
+/// A request that has no answer yet, or attempts still out.
+struct Held {
+    statement: Statement,
+    deadline: Instant,
+    /// Where the answer goes; none once it went.
+    client: Option<mpsc::Sender<Mail>>,
+    last_call: Option<Key>,
+    /// The host of each attempt.
+    sent: Vec<HostId>,
+    out: u32,
+    write: bool,
+}
+
+enum Due {
+    Ring(u64),
+    LastCall(RequestId),
+}
+
+pub(crate) struct Core {
+    router: Router,
+    clock: Clock,
+    events: mpsc::Sender<Event>,
+    peers: Vec<Peer>,
+    numbers: HashMap<String, HostId>,
+    groups: HashSet<u32>,
+    table: HashMap<RequestId, Held>,
+    open: usize,
+    timers: DelayQueue<Due>,
+    pool: upstream::Pool,
+    ready: watch::Sender<bool>,
+    counters: Arc<Counters>,
+    config: Config,
+    actions: Vec<Action>,
+    /// Told to the router once the actions in hand are carried out.
+    next: VecDeque<Told>,
+}
+
+impl Core {
+    pub fn new(
+        config: Config,
+        events: mpsc::Sender<Event>,
+        ready: watch::Sender<bool>,
+        counters: Arc<Counters>,
+    ) -> Self {
+        let router = Router::new(config.settings.clone(), config.seed);
+        Self {
+            router: router.expect("the configuration was checked with the same check"),
+            clock: Clock::start(),
+            events,
+            peers: Vec::new(),
+            numbers: HashMap::new(),
+            groups: HashSet::new(),
+            table: HashMap::new(),
+            open: 0,
+            timers: DelayQueue::new(),
+            pool: upstream::Pool::new(&config, Arc::clone(&counters)),
+            ready,
+            counters,
+            config,
+            actions: Vec::new(),
+            next: VecDeque::new(),
+        }
+    }
+
+    pub async fn run(mut self, mut mailbox: mpsc::Receiver<Event>) {
+        if let Some(known) = self.config.known.take() {
+            self.list(known, ListKind::Restored).await;
+        }
+        loop {
+            tokio::select! {
+                event = mailbox.recv() => match event {
+                    Some(event) => self.event(event).await,
+                    None => return,
+                },
+                Some(due) = poll_fn(|cx| self.timers.poll_expired(cx)), if !self.timers.is_empty() => {
+                    match due.into_inner() {
+                        Due::Ring(token) => self.tell(Told::Timer(token)).await,
+                        Due::LastCall(id) => self.last_call(id).await,
+                    }
+                }
+            }
+        }
+    }
+
+    async fn event(&mut self, event: Event) {
+        match event {
+            Event::Arrival(arrival) => self.arrival(*arrival).await,
+            Event::ClientLeft(id) => {
+                if self.close(id, Ended::Left).is_some() {
+                    self.tell(Told::ClientLeft(id)).await;
+                }
+                self.forget(id);
+            }
+            Event::Ended(end) => self.ended(*end).await,
+            Event::Probed(Probe { host, outcome, latency, report }) => {
+                self.tell(Told::Probed { host, outcome, latency, report }).await;
+            }
+            Event::List(list) => {
+                let kind = if list.whole { ListKind::Replace } else { ListKind::Update };
+                self.list(list, kind).await;
+            }
+        }
+    }
+
+    // ---- Requests --------------------------------------------------------------------------------------
+
+    async fn arrival(&mut self, arrival: Arrival) {
+        let Arrival { id, request, arrived, client } = arrival;
+        self.counters.taken();
+        // The module would hold a request of a group that does not exist until its client leaves.
+        if !self.groups.contains(&request.group) {
+            self.counters.ended(Ended::Failed);
+            return mail(&client, id, Answer::Invalid(format!("there is no group {}", request.group)));
+        }
+        if self.open >= self.config.most_held {
+            self.counters.ended(Ended::Refused);
+            let retry_after =
+                self.config.settings.retry_after.then_some(self.config.settings.max_retry_after);
+            return mail(&client, id, Answer::Refused { retry_after });
+        }
+        let deadline = arrived + request.wait.saturating_sub(WAY_BACK.min(request.wait / 10));
+        let last_call = arrived + request.wait.saturating_sub(LAST_CALL.min(request.wait / 20));
+        let last_call = Some(self.timers.insert_at(Due::LastCall(id), last_call));
+        let ttl = micros(deadline.saturating_duration_since(Instant::now()));
+        let Request { class, tenant, group, session, again, since_write, write, statement, .. } = request;
+        let held =
+            Held { statement, deadline, client: Some(client), last_call, sent: Vec::new(), out: 0, write };
+        self.table.insert(id, held);
+        self.open += 1;
+        let request =
+            crate::interface::Request { id, class, group, tenant, since_write, again, ttl, session };
+        self.tell(Told::Arrival(request)).await;
+    }
+
+    /// Takes the way to the client of a request that ends now.
+    fn close(&mut self, id: RequestId, how: Ended) -> Option<mpsc::Sender<Mail>> {
+        let held = self.table.get_mut(&id)?;
+        let client = held.client.take()?;
+        if let Some(key) = held.last_call.take() {
+            self.timers.remove(&key);
+        }
+        self.open -= 1;
+        self.counters.ended(how);
+        Some(client)
+    }
+
+    fn answer(&mut self, id: RequestId, how: Ended, answer: Answer) {
+        if let Some(client) = self.close(id, how) {
+            mail(&client, id, answer);
+        }
+        self.forget(id);
+    }
+
+    fn forget(&mut self, id: RequestId) {
+        if self.table.get(&id).is_some_and(|held| held.client.is_none() && held.out == 0) {
+            self.table.remove(&id);
+        }
+    }
+
+    /// The net under the rule that every request is answered in time, whatever the module does.
+    async fn last_call(&mut self, id: RequestId) {
+        if let Some(held) = self.table.get_mut(&id) {
+            held.last_call = None;
+        }
+        if let Some(client) = self.close(id, Ended::Failed) {
+            eprintln!("request {}: no answer by its deadline", id.0);
+            mail(&client, id, Answer::Failed);
+            self.tell(Told::ClientLeft(id)).await;
+        }
+        self.forget(id);
+    }
+
+    async fn ended(&mut self, end: AttemptEnd) {
+        let AttemptEnd { id, attempt, host, outcome, latency, position, role, value } = end;
+        self.counters.outcome(outcome);
+        let mut served = None;
+        let mut closed = true;
+        if let Some(held) = self.table.get_mut(&id) {
+            held.out -= 1;
+            closed = held.client.is_none();
+        }
+        if outcome == Outcome::Ok && !closed {
+            served = self.close(id, Ended::Served).zip(value);
+            closed = true;
+        }
+        let position = position.map(|p| p.rounded(outcome == Outcome::Ok && self.writes(id)));
+        let reply = Reply { id, attempt, host, outcome, latency, closed, position, role, report: None };
+        // The module first: its client's next read must find the commit known.
+        self.tell(Told::Reply(reply)).await;
+        if let Some((client, value)) = served {
+            mail(&client, id, Answer::Served(value));
+        }
+        self.forget(id);
+    }
+
+    fn writes(&self, id: RequestId) -> bool {
+        self.table.get(&id).is_some_and(|held| held.write)
+    }
+
+    // ---- The list --------------------------------------------------------------------------------------
+
+    async fn list(&mut self, list: Listing, kind: ListKind) {
+        self.counters.list();
+        let mut entries = Vec::with_capacity(list.entries.len());
+        let mut named = HashSet::new();
+        for listed in list.entries {
+            let host = self.number(&listed);
+            named.insert(host);
+            self.groups.insert(listed.group);
+            let peer = &self.peers[host.0 as usize];
+            // A host's actor hears of it before any send that the module decides on from now on.
+            peer.tell(Command::Listed { address: listed.address, state: listed.state }).await;
+            let Listed { group, zone, weight, state, since, .. } = listed;
+            entries.push(HostEntry { host, group, zone, weight, leader: false, state, online_since: since });
+        }
+        if kind != ListKind::Update {
+            for (n, peer) in self.peers.iter().enumerate() {
+                if !named.contains(&HostId(n as u32)) {
+                    peer.tell(Command::Gone).await;
+                }
+            }
+        }
+        let serves = entries.iter().any(|e| e.state == HostState::Running);
+        self.tell(Told::Hosts(kind, entries)).await;
+        if serves {
+            self.ready.send_replace(true);
+        }
+    }
+
+    /// The number of a host: one for each name, for ever, though its address may change.
+    fn number(&mut self, listed: &Listed) -> HostId {
+        if let Some(host) = self.numbers.get(&listed.name) {
+            return *host;
+        }
+        let host = HostId(self.peers.len() as u32);
+        self.numbers.insert(listed.name.clone(), host);
+        self.peers.push(Peer::start(host, listed.address, self.pool.clone(), self.events.clone()));
+        host
+    }
+
+    // ---- The router ------------------------------------------------------------------------------------
+
+    /// Tells the router something and carries out what it decides, and what follows from that.
+    async fn tell(&mut self, told: Told) {
+        self.next.push_back(told);
+        while let Some(told) = self.next.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.router.handle(self.clock.now(), told, &mut actions);
+            for action in actions.drain(..) {
+                self.act(action).await;
+            }
+            self.actions = actions;
+        }
+    }
+
+    async fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { id, host, timeout } => self.send(id, host, timeout).await,
+            Action::Refuse { id, retry_after } => {
+                self.answer(id, Ended::Refused, Answer::Refused { retry_after });
+            }
+            Action::Fail { id } => self.answer(id, Ended::Failed, Answer::Failed),
+            Action::Cancel { id, attempt } => {
+                let host = self.table.get(&id).and_then(|held| held.sent.get(attempt as usize));
+                if let Some(peer) = host.and_then(|host| self.peers.get(host.0 as usize)) {
+                    peer.tell(Command::Cancel { id, attempt }).await;
+                }
+            }
+            Action::Probe { host } => {
+                self.counters.probe();
+                if let Some(peer) = self.peers.get(host.0 as usize) {
+                    peer.tell(Command::Probe { sent: Instant::now() }).await;
+                }
+            }
+            Action::LetGo { host } => {
+                if let Some(peer) = self.peers.get(host.0 as usize) {
+                    peer.tell(Command::LetGo).await;
+                }
+            }
+            Action::Timer { at, token } => {
+                self.timers.insert_at(Due::Ring(token), self.clock.moment(at));
+            }
+            Action::Log(line) => eprintln!("{line}"),
+            // The list is pushed here: the watch is always on.
+            Action::Watch(_) | Action::FetchList => {}
+        }
+    }
+
+    async fn send(&mut self, id: RequestId, host: HostId, timeout: Option<Time>) {
+        let now = Instant::now();
+        let limit = self.config.max_attempts;
+        let Some(held) = self.table.get_mut(&id) else {
+            return eprintln!("request {}: sent after its end", id.0);
+        };
+        let attempt = held.sent.len() as u32;
+        held.sent.push(host);
+        held.out += 1;
+        let peer = self.peers.get(host.0 as usize);
+        let moot = held.client.is_none() || now >= held.deadline || attempt >= limit;
+        let Some(peer) = peer.filter(|_| !moot) else {
+            held.out -= 1;
+            let closed = held.client.is_none();
+            self.counters.outcome(Outcome::Moot);
+            let (latency, outcome) = (Time(0), Outcome::Moot);
+            let (position, role, report) = (None, None, None);
+            let reply = Reply { id, attempt, host, outcome, latency, closed, position, role, report };
+            return self.next.push_back(Told::Reply(reply));
+        };
+        let timeout = timeout.map(|t| now + Duration::from_micros(t.0.max(0) as u64));
+        let deadline = timeout.map_or(held.deadline, |at| at.min(held.deadline));
+        self.counters.sent();
+        let statement = held.statement.clone();
+        peer.tell(Command::Attempt(upstream::Attempt { id, attempt, statement, sent: now, deadline })).await;
+    }
+}
+
+fn mail(client: &mpsc::Sender<Mail>, id: RequestId, answer: Answer) {
+    // Fails only when the client has left: its one request has one answer, and the mailbox holds that.
+    let _ = client.try_send(Mail::Answer(id, answer));
+}
+
+fn micros(span: Duration) -> Time {
+    Time(span.as_micros() as i64)
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,61 @@
+//! The proxy on sockets: an actor for each peer, one for the list and one for the module. No decisions here.
+//!
+//! Why no mailbox can deadlock: the module's actor may wait for a host's mailbox, so a host's actor never
+//! waits for the module's: it keeps what it has to tell until there is room. Towards clients the module's
+//! actor never waits at all: each has one request at a time, and its mailbox has room for the answer.
+
+pub mod clock;
+pub(crate) mod core;
+pub mod discovery;
+pub mod frontend;
+pub mod upstream;
+
+use crate::config::Config;
+use crate::counters::Counters;
+use std::io;
+use std::sync::Arc;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{mpsc, watch};
+
+/// Events that may wait for the module's actor.
+const CORE_MAILBOX: usize = 1024;
+
+/// Serves until SIGTERM and then until all is answered.
+///
+/// # Errors
+/// When the address cannot be listened on or signals cannot be had.
+pub async fn run(config: Config) -> io::Result<()> {
+    let counters = Arc::new(Counters::default());
+    let (events, mailbox) = mpsc::channel(CORE_MAILBOX);
+    let (ready, is_ready) = watch::channel(false);
+    let (drain, draining) = watch::channel(false);
+    let mut usr1 = signal(SignalKind::user_defined1())?;
+    let mut term = signal(SignalKind::terminate())?;
+    let listener = frontend::bind(config.listen).await?;
+    let since = config.known.as_ref().map(|list| list.index);
+    let zones = config.names.zones.clone();
+    let follower = tokio::spawn(discovery::follow(config.discovery, zones, since, events.clone()));
+    let door = frontend::Door {
+        events: events.clone(),
+        names: Arc::new(config.names.clone()),
+        ready: is_ready,
+        draining,
+        counters: Arc::clone(&counters),
+        limit: config.limits.clients,
+    };
+    let mut front = tokio::spawn(frontend::accept(listener, door));
+    let core = core::Core::new(config, events, ready, Arc::clone(&counters));
+    let mut core = tokio::spawn(core.run(mailbox));
+    let ended = loop {
+        tokio::select! {
+            _ = usr1.recv() => eprintln!("counters: {counters}"),
+            _ = term.recv() => { let _ = drain.send(true); }
+            ended = &mut front => break ended.map_err(io::Error::other),
+            // Without the module nothing can be answered: better to end than to take requests in vain.
+            ended = &mut core => break ended.map_err(io::Error::other),
+        }
+    };
+    eprintln!("counters: {counters}");
+    follower.abort();
+    ended
+}
--- /dev/null
+++ b/src/net/upstream/mod.rs
@@ -0,0 +1,348 @@
+//! Ledger hosts: one actor each, which owns its connections, attempts and probes.
+
+mod postgres;
+
+use super::core::Event;
+use super::frontend::Statement;
+use crate::config::Config;
+use crate::counters::Counters;
+use crate::interface::{HostId, HostState, Outcome, Position, Report, RequestId, Role, Time};
+use bytes::Bytes;
+use postgres::Connection;
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, watch, Semaphore};
+use tokio::task::JoinSet;
+use tokio::time::{sleep_until, timeout_at, Instant};
+
+/// Commands that may wait for a host's actor.
+const MAILBOX: usize = 256;
+
+/// What a host's actor is told.
+#[derive(Debug)]
+pub(crate) enum Command {
+    /// The list names the host.
+    Listed { address: SocketAddr, state: HostState },
+    /// The list names it no longer.
+    Gone,
+    /// Sends a request.
+    Attempt(Attempt),
+    /// Gives an attempt up; ignored if it is not here.
+    Cancel { id: RequestId, attempt: u32 },
+    /// Asks the host for its report.
+    Probe { sent: Instant },
+    /// Closes idle connections.
+    LetGo,
+}
+
+#[derive(Debug)]
+pub(crate) struct Attempt {
+    pub id: RequestId,
+    pub attempt: u32,
+    pub statement: Statement,
+    pub sent: Instant,
+    pub deadline: Instant,
+}
+
+/// A position as a host writes it, in Unix milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Stamp(pub f64);
+
+impl Stamp {
+    /// In whole milliseconds: a commit up, so that no read misses it; what is applied down, as a lower bound.
+    pub fn rounded(self, commit: bool) -> Position {
+        let ms = if commit { self.0.ceil() } else { self.0.floor() };
+        Position(ms as i64 * 1000)
+    }
+}
+
+/// The end of an attempt.
+#[derive(Debug)]
+pub(crate) struct AttemptEnd {
+    pub id: RequestId,
+    pub attempt: u32,
+    pub host: HostId,
+    pub outcome: Outcome,
+    pub latency: Time,
+    pub position: Option<Stamp>,
+    pub role: Option<Role>,
+    pub value: Option<Bytes>,
+}
+
+/// The end of a probe.
+#[derive(Debug)]
+pub(crate) struct Probe {
+    pub host: HostId,
+    pub outcome: Outcome,
+    pub latency: Time,
+    pub report: Option<Report>,
+}
+
+/// What the hosts' actors share: the descriptors that they may use, and the spans.
+#[derive(Clone, Debug)]
+pub(crate) struct Pool {
+    permits: Arc<Semaphore>,
+    squeeze: Arc<watch::Sender<()>>,
+    connect_timeout: Duration,
+    retire_after: Duration,
+    reports: bool,
+    counters: Arc<Counters>,
+}
+
+impl Pool {
+    pub fn new(config: &Config, counters: Arc<Counters>) -> Self {
+        Self {
+            permits: Arc::new(Semaphore::new(config.limits.upstream)),
+            squeeze: Arc::new(watch::channel(()).0),
+            connect_timeout: config.connect_timeout,
+            retire_after: config.retire_after,
+            reports: config.settings.reports != crate::interface::Reports::Off,
+            counters,
+        }
+    }
+}
+
+/// The module's way to a host's actor.
+#[derive(Debug)]
+pub(crate) struct Peer(mpsc::Sender<Command>);
+
+impl Peer {
+    pub fn start(host: HostId, address: SocketAddr, pool: Pool, events: mpsc::Sender<Event>) -> Self {
+        let (commands, mailbox) = mpsc::channel(MAILBOX);
+        let running = watch::channel(true).0;
+        let squeezed = pool.squeeze.subscribe();
+        let actor = Host {
+            host,
+            address,
+            pool,
+            running,
+            idle: VecDeque::new(),
+            out: HashMap::new(),
+            tasks: JoinSet::new(),
+            tell: VecDeque::new(),
+        };
+        tokio::spawn(actor.run(mailbox, events, squeezed));
+        Self(commands)
+    }
+
+    /// Waits for room: the host's actor never waits for the module, so there will be some.
+    pub async fn tell(&self, command: Command) {
+        if self.0.send(command).await.is_err() {
+            eprintln!("a host's actor has ended");
+        }
+    }
+}
+
+/// What a task of a host's actor brings back: its connection, if that is still good, and what to tell.
+struct Done {
+    connection: Option<Connection>,
+    event: Event,
+}
+
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
+
+struct Host {
+    host: HostId,
+    address: SocketAddr,
+    pool: Pool,
+    /// Whether the list says that it runs: what is not yet written goes to no other.
+    running: watch::Sender<bool>,
+    /// The longest idle first; the others are used first, so that what is too much grows old.
+    idle: VecDeque<Idle>,
+    out: HashMap<(RequestId, u32), oneshot::Sender<()>>,
+    tasks: JoinSet<Done>,
+    /// What the module's actor has had no room for yet.
+    tell: VecDeque<Event>,
+}
+
+impl Host {
+    async fn run(
+        mut self,
+        mut mailbox: mpsc::Receiver<Command>,
+        events: mpsc::Sender<Event>,
+        mut squeezed: watch::Receiver<()>,
+    ) {
+        loop {
+            let retire = self.idle.front().map(|idle| idle.since + self.pool.retire_after);
+            tokio::select! {
+                biased;
+                Some(done) = self.tasks.join_next() => match done {
+                    Ok(done) => self.done(done),
+                    Err(problem) => eprintln!("an attempt's task: {problem}"),
+                },
+                Ok(permit) = events.reserve(), if !self.tell.is_empty() => {
+                    if let Some(event) = self.tell.pop_front() {
+                        permit.send(event);
+                    }
+                }
+                command = mailbox.recv() => match command {
+                    Some(command) => self.command(command),
+                    None => return,
+                },
+                () = sleep_until(retire.unwrap_or_else(Instant::now)), if retire.is_some() => {
+                    self.idle.pop_front();
+                }
+                Ok(()) = squeezed.changed() => self.idle.clear(),
+            }
+        }
+    }
+
+    fn done(&mut self, done: Done) {
+        if let Event::Ended(end) = &done.event {
+            self.out.remove(&(end.id, end.attempt));
+        }
+        if let Some(connection) = done.connection.filter(|c| c.address() == self.address) {
+            self.idle.push_back(Idle { connection, since: Instant::now() });
+        }
+        self.tell.push_back(done.event);
+    }
+
+    fn command(&mut self, command: Command) {
+        match command {
+            Command::Listed { address, state } => {
+                if address != self.address {
+                    self.address = address;
+                    self.idle.clear();
+                }
+                self.running.send_replace(state == HostState::Running);
+                if state == HostState::Deleted {
+                    self.idle.clear();
+                }
+            }
+            Command::Gone => {
+                self.running.send_replace(false);
+                self.idle.clear();
+            }
+            Command::Attempt(attempt) => {
+                let (cancel, cancelled) = oneshot::channel();
+                self.out.insert((attempt.id, attempt.attempt), cancel);
+                let way = self.way();
+                self.tasks.spawn(try_once(self.host, attempt, way, cancelled));
+            }
+            Command::Cancel { id, attempt } => {
+                if let Some(cancel) = self.out.remove(&(id, attempt)) {
+                    let _ = cancel.send(());
+                }
+            }
+            Command::Probe { sent } => {
+                let way = self.way();
+                self.tasks.spawn(probe(self.host, sent, way));
+            }
+            Command::LetGo => self.idle.clear(),
+        }
+    }
+
+    /// A connection that still stands, or what it takes to open one.
+    fn way(&mut self) -> Way {
+        let mut idle = None;
+        while let Some(Idle { connection, .. }) = self.idle.pop_back() {
+            // The host may have closed it, or died and come back, since.
+            if connection.stands() {
+                idle = Some(connection);
+                break;
+            }
+        }
+        Way { idle, address: self.address, pool: self.pool.clone(), running: self.running.subscribe() }
+    }
+}
+
+struct Way {
+    idle: Option<Connection>,
+    address: SocketAddr,
+    pool: Pool,
+    running: watch::Receiver<bool>,
+}
+
+impl Way {
+    /// The idle connection or a new one; the outcome if there is none in time.
+    async fn open(&mut self, deadline: Instant) -> Result<Connection, Outcome> {
+        if let Some(connection) = self.idle.take() {
+            return Ok(connection);
+        }
+        self.pool.counters.connect();
+        let give_up = deadline.min(Instant::now() + self.pool.connect_timeout);
+        let Way { address, pool, running, .. } = self;
+        let opened = async {
+            let permits = Arc::clone(&pool.permits);
+            let permit = match Arc::clone(&permits).try_acquire_owned() {
+                Ok(permit) => permit,
+                Err(_) => {
+                    // Idle connections elsewhere hold what is needed here.
+                    pool.squeeze.send_replace(());
+                    permits.acquire_owned().await.map_err(|_| Outcome::ConnectFailed)?
+                }
+            };
+            Connection::open(*address, permit).await
+        };
+        tokio::select! {
+            opened = timeout_at(give_up, opened) => opened.unwrap_or(Err(Outcome::ConnectFailed)),
+            // A host that stops while a request waits for its connection gets none of it.
+            Ok(_) = running.wait_for(|running| !running) => Err(Outcome::ConnectFailed),
+        }
+    }
+}
+
+async fn try_once(host: HostId, a: Attempt, mut way: Way, mut cancelled: oneshot::Receiver<()>) -> Done {
+    let mut connection = None;
+    let mut exchange = postgres::Exchange::default();
+    let stopped = {
+        let work = async {
+            let open = way.open(a.deadline).await?;
+            let left = a.deadline.saturating_duration_since(Instant::now());
+            let statement = a.statement.with_wait(left);
+            let open = connection.insert(open);
+            Ok(open.ask(&statement, &mut exchange).await)
+        };
+        tokio::select! {
+            biased;
+            Ok(()) = &mut cancelled => Err(Outcome::Cancelled),
+            done = work => done,
+            () = sleep_until(a.deadline) => Err(Outcome::Timeout),
+        }
+    };
+    let (outcome, good) = match stopped {
+        Ok(good) => (exchange.outcome(), good),
+        // What the host has said whole counts, though the rest of its answer did not come in time.
+        Err(Outcome::Timeout) if exchange.told() => (exchange.outcome(), false),
+        // Nothing was written: it never ran.
+        Err(Outcome::Timeout) if !exchange.written => (Outcome::ConnectFailed, false),
+        Err(outcome) => (outcome, false),
+    };
+    let end = AttemptEnd {
+        id: a.id,
+        attempt: a.attempt,
+        host,
+        outcome,
+        latency: Time(a.sent.elapsed().as_micros() as i64),
+        position: exchange.position,
+        role: exchange.role,
+        value: (outcome == Outcome::Ok).then(|| exchange.value.freeze()),
+    };
+    Done { connection: connection.filter(|_| good), event: Event::Ended(Box::new(end)) }
+}
+
+async fn probe(host: HostId, sent: Instant, mut way: Way) -> Done {
+    let mut connection = None;
+    let mut exchange = postgres::Exchange::default();
+    let deadline = sent + way.pool.connect_timeout;
+    let statement: &[u8] = if way.pool.reports { b"SHOW load" } else { b"SELECT 1" };
+    let work = async {
+        let open = way.open(deadline).await?;
+        let open = connection.insert(open);
+        Ok(open.ask(statement, &mut exchange).await)
+    };
+    let (outcome, good) = match timeout_at(deadline, work).await {
+        Ok(Ok(good)) => (exchange.outcome(), good),
+        Ok(Err(outcome)) => (outcome, false),
+        Err(_) => (Outcome::Timeout, false),
+    };
+    let report = exchange.report().filter(|_| outcome == Outcome::Ok);
+    let latency = Time(sent.elapsed().as_micros() as i64);
+    let event = Event::Probed(Probe { host, outcome, latency, report });
+    Done { connection: connection.filter(|_| good), event }
+}
--- /dev/null
+++ b/src/pgwire/backend.rs
@@ -0,0 +1,109 @@
+//! What ledger hosts answer.
+
+use super::{announced, body, framed, Input, WireError};
+use winnow::binary::{be_u16, be_u32, u8 as byte};
+use winnow::combinator::{repeat, terminated};
+use winnow::token::{literal, take, take_till};
+use winnow::{ModalResult, Parser};
+
+/// The longest message that is taken: a value of 64 KiB, as digits at the worst.
+const MOST_MESSAGE: usize = 160 * 1024;
+
+/// A message of a ledger host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BackendMessage<'a> {
+    /// Authentication; true when none is needed.
+    Authentication(bool),
+    /// A parameter and its value.
+    Parameter(&'a str, &'a str),
+    /// The description of the rows to come.
+    RowDescription,
+    /// A row: its columns, null as none.
+    DataRow(Vec<Option<&'a [u8]>>),
+    /// The statement is done.
+    CommandComplete,
+    /// The empty query's answer.
+    EmptyQuery,
+    /// An error.
+    Error(ErrorFields<'a>),
+    /// The next query may come.
+    Ready,
+    /// A notice or anything else that needs no care.
+    Other(u8),
+}
+
+/// The fields of an error that matter here.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ErrorFields<'a> {
+    /// SQLSTATE.
+    pub code: &'a str,
+    /// The message.
+    pub message: &'a str,
+    /// Whether the connection ends with it.
+    pub fatal: bool,
+}
+
+impl<'a> BackendMessage<'a> {
+    /// Reads the next message; none while it is cut off.
+    ///
+    /// # Errors
+    /// When it is too long or malformed: the connection is of no more use.
+    pub fn parse(bytes: &'a [u8]) -> Result<Option<(Self, usize)>, WireError> {
+        if bytes.get(1..).and_then(announced).is_some_and(|length| length > MOST_MESSAGE) {
+            return Err(WireError::TooLong);
+        }
+        framed(bytes, message)
+    }
+}
+
+fn message<'a>(input: &mut Input<'a>) -> ModalResult<BackendMessage<'a>> {
+    let kind = byte.parse_next(input)?;
+    let mut content = body(input, MOST_MESSAGE)?;
+    let content = &mut content;
+    Ok(match kind {
+        b'R' => BackendMessage::Authentication(be_u32.parse_next(content)? == 0),
+        b'S' => {
+            let (name, value) = (text, text).parse_next(content)?;
+            BackendMessage::Parameter(name, value)
+        }
+        b'T' => BackendMessage::RowDescription,
+        b'D' => {
+            let columns = be_u16.parse_next(content)? as usize;
+            BackendMessage::DataRow(repeat(columns, column).parse_next(content)?)
+        }
+        b'C' => BackendMessage::CommandComplete,
+        b'I' => BackendMessage::EmptyQuery,
+        b'E' => BackendMessage::Error(error_fields(content)?),
+        b'Z' => BackendMessage::Ready,
+        other => BackendMessage::Other(other),
+    })
+}
+
+/// A text up to its zero.
+fn text<'a>(content: &mut &'a [u8]) -> ModalResult<&'a str> {
+    terminated(take_till(0.., 0u8), literal(0u8)).try_map(std::str::from_utf8).parse_next(content)
+}
+
+fn column<'a>(content: &mut &'a [u8]) -> ModalResult<Option<&'a [u8]>> {
+    match be_u32.parse_next(content)? {
+        u32::MAX => Ok(None),
+        length => take(length).map(Some).parse_next(content),
+    }
+}
+
+fn error_fields<'a>(content: &mut &'a [u8]) -> ModalResult<ErrorFields<'a>> {
+    let mut fields = ErrorFields::default();
+    loop {
+        let kind = byte.parse_next(content)?;
+        if kind == 0 {
+            return Ok(fields);
+        }
+        let value = text(content)?;
+        match kind {
+            b'C' => fields.code = value,
+            b'M' => fields.message = value,
+            b'S' | b'V' => fields.fatal |= matches!(value, "FATAL" | "PANIC"),
+            _ => {}
+        }
+    }
+}
