Refuse reads unsent by half of their time, and at once what comes with no time left

Checked: one request had no answer from the module by its deadline; the log shows it came with some 3 ms left, less than the next look is away. Conclusion: Router::settle ends such reads with advice; writes stay held, since recovery serves them.

--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -210,6 +210,8 @@
     async fn last_call(&mut self, id: RequestId) {
         if let Some(held) = self.table.get_mut(&id) {
             held.last_call = None;
+            let (sent, late) = (&held.sent, held.deadline.elapsed());
+            eprintln!("request {}: write={} sent={sent:?} out={} late={late:?}", id.0, held.write, held.out);
         }
         if let Some(client) = self.close(id, Ended::Failed) {
             eprintln!("request {}: no answer by its deadline", id.0);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -283,6 +283,8 @@
             return self.refuse(r.id, actions);
         }
         self.dispatch(r.group, actions);
+        // What comes with no time left is not held for the next look, which would be too late.
+        self.settle(r.id, actions);
     }
 
     fn on_reply(&mut self, r: Reply, actions: &mut Vec<Action>) {
@@ -723,7 +725,10 @@
         let hopeless = class.late_worth <= 0.0 && aim_left < self.pace[open.class].work / 2.0;
         let over =
             self.now.0 >= open.deadline.0 - MARGIN_US || open.attempts >= self.s.max_attempts || open.spent;
-        if !hopeless && !over && self.may_repeat(open, None) {
+        // A read that has waited half its time unsent had better be asked again: its client is told when.
+        let half = (open.arrived.0 + open.deadline.0) / 2 - 2 * LOOK_US;
+        let idle = open.attempts == 0 && !self.needs_primary(open) && self.now.0 >= half;
+        if !hopeless && !over && !idle && self.may_repeat(open, None) {
             return;
         }
         let harmless = matches!(class.repeat, Repeat::Safe | Repeat::Keyed(KeyScope::All));
@@ -789,10 +794,8 @@
         } else if r.outcome == Outcome::Ok && f64::from(host.in_flight) + 2.0 > host.limit {
             host.limit = (host.limit * LIMIT_STEP.1).min(LIMIT.0);
         }
-        if r.outcome != Outcome::Ok {
-            return;
-        }
-        let pace = &mut self.pace[attempt.class];
+        let pace = self.pace.get_mut(attempt.class).filter(|_| r.outcome == Outcome::Ok);
+        let Some(pace) = pace else { return };
         host.slowness += GAIN * ((latency / pace.mean.max(1.0)).min(5.0) - host.slowness);
         pace.mean += GAIN * (latency - pace.mean);
         if !crowded {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -158,3 +158,29 @@
     assert_eq!(key(|s| s.fall = Time(-1)), "fall");
     assert_eq!(key(|s| s.max_attempts = 0), "max_attempts");
 }
+
+/// A read that no member can take is not held to the end of its time: from half of it on its client could have
+/// asked again, and a late refusal costs the operators (fleet day, a failover that stops every position).
+#[test]
+fn a_read_unsent_by_half_its_time_is_refused_with_advice() {
+    let mut world = World::known(settings(), 2);
+    world.now += 5_000 * MS;
+    world.event(Event::Hosts(ListKind::Update, vec![HostEntry::new(HostId(0), 0, HostState::Deleted)]));
+    let (id, sent) = world.ask(2, None);
+    assert!(sends(&sent).is_empty() && finals(&sent).is_empty(), "held at first");
+    assert!(finals(&world.wait(900)).is_empty());
+    let ends = world.wait(100);
+    assert!(
+        matches!(finals(&ends)[..], [Action::Refuse { id: of, retry_after: Some(_) }] if *of == id),
+        "{ends:?}"
+    );
+}
+
+/// What comes with no time left must not be held for the next look (fleet day, a retry with 3 ms to go).
+#[test]
+fn a_request_without_time_left_is_answered_at_once() {
+    let mut world = World::known(settings(), 1);
+    world.event(Event::Hosts(ListKind::Update, vec![HostEntry::new(HostId(0), 0, HostState::Stopping)]));
+    let request = Request::new(RequestId(9), 3, 0, 3 * MS);
+    assert_eq!(finals(&world.event(Event::Arrival(request))).len(), 1);
+}
