--- a/src/config.rs
+++ b/src/config.rs
@@ -186,7 +186,10 @@
         };
         let known = match file.known {
             None => None,
-            Some(raw) => Some(raw.check(&names.zones).map_err(|e| wrong("known", e))?),
+            Some(raw) => match raw.check(&names.zones) {
+                (list, problems) if problems.is_empty() => Some(list),
+                (_, problems) => return Err(wrong("known", &problems[0])),
+            },
         };
         Ok(Self {
             name,
--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -36,8 +36,3 @@
         self.started + Duration::from_micros(since as u64).min(Duration::from_secs(86_400 * 365))
     }
 }
-
-/// The system's time in Unix milliseconds, for what others tell in it.
-pub fn unix_ms() -> f64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1e3
-}
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -7,7 +7,7 @@
 use crate::config::Config;
 use crate::counters::{Counters, Ended};
 use crate::interface::{
-    Action, Event as Told, HostEntry, HostId, HostState, ListKind, Outcome, Reply, RequestId, Time,
+    Action, Event as Told, Freshness, HostEntry, HostId, HostState, ListKind, Outcome, Reply, RequestId, Time,
 };
 use crate::policy::Router;
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -87,6 +87,7 @@
 impl Core {
     pub fn new(
         config: Config,
+        clock: Clock,
         events: mpsc::Sender<Event>,
         ready: watch::Sender<bool>,
         counters: Arc<Counters>,
@@ -94,7 +95,7 @@
         let router = Router::new(config.settings.clone(), config.seed);
         Self {
             router: router.expect("the configuration was checked with the same check"),
-            clock: Clock::start(),
+            clock,
             events,
             peers: Vec::new(),
             numbers: HashMap::new(),
@@ -171,7 +172,8 @@
         let last_call = arrived + request.wait.saturating_sub(LAST_CALL.min(request.wait / 20));
         let last_call = Some(self.timers.insert_at(Due::LastCall(id), last_call));
         let ttl = micros(deadline.saturating_duration_since(Instant::now()));
-        let Request { class, tenant, group, session, again, since_write, write, statement, .. } = request;
+        let Request { class, tenant, group, session, again, since_write, statement, .. } = request;
+        let write = self.config.settings.classes[class].freshness == Freshness::Write;
         let held =
             Held { statement, deadline, client: Some(client), last_call, sent: Vec::new(), out: 0, write };
         self.table.insert(id, held);
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -103,11 +103,8 @@
 }
 
 impl RawListing {
-    /// Turns names into numbers.
-    ///
-    /// # Errors
-    /// When an entry has no sensible address or state.
-    pub fn check(self, zones: &[String]) -> Result<Listing, ListError> {
+    /// Turns names into numbers. An entry without a sensible address or state is left out, and told.
+    pub fn check(self, zones: &[String]) -> (Listing, Vec<ListError>) {
         let entry = |raw: RawEntry| {
             let state = match raw.status.as_str() {
                 "up" => Ok(HostState::Running),
@@ -130,8 +127,14 @@
                 (Err(problem), _) | (_, Err(problem)) => Err(ListError::Entry { name: raw.name, problem }),
             }
         };
-        let entries = self.endpoints.into_iter().map(entry).collect::<Result<_, _>>()?;
-        Ok(Listing { index: self.index, whole: self.snapshot, entries })
+        let (mut entries, mut problems) = (Vec::new(), Vec::new());
+        for raw in self.endpoints {
+            match entry(raw) {
+                Ok(entry) => entries.push(entry),
+                Err(problem) => problems.push(problem),
+            }
+        }
+        (Listing { index: self.index, whole: self.snapshot, entries }, problems)
     }
 }
 
@@ -188,7 +191,9 @@
             if line.trim_ascii().is_empty() {
                 continue;
             }
-            let listing = serde_json::from_slice::<RawListing>(&line)?.check(zones)?;
+            let (listing, problems) = serde_json::from_slice::<RawListing>(&line)?.check(zones);
+            // One bad entry must not cost the others: the watch would be resumed before it again and again.
+            problems.iter().for_each(|problem| eprintln!("discovery: {problem}"));
             *since = Some(listing.index);
             if events.send(Event::List(listing)).await.is_err() {
                 return Ok(());
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -2,6 +2,7 @@
 
 mod postgres;
 
+use super::clock::Clock;
 use super::core::Event;
 use crate::config::Names;
 use crate::counters::Counters;
@@ -58,8 +59,6 @@
     pub again: bool,
     /// How long ago the session's last write was, where the client tells.
     pub since_write: Option<Time>,
-    /// Whether it writes.
-    pub write: bool,
     /// How long the client waits.
     pub wait: Duration,
     /// What goes to the ledger host.
@@ -92,6 +91,7 @@
 /// What every client's actor needs.
 #[derive(Clone, Debug)]
 pub(crate) struct Door {
+    pub clock: Clock,
     pub events: mpsc::Sender<Event>,
     pub names: Arc<Names>,
     pub ready: watch::Receiver<bool>,
--- a/src/net/frontend/postgres.rs
+++ b/src/net/frontend/postgres.rs
@@ -2,7 +2,6 @@
 
 use super::{Answer, Door, Mail, Request, Statement};
 use crate::interface::{RequestId, SessionId, Time};
-use crate::net::clock::unix_ms;
 use crate::net::core::{Arrival, Event};
 use crate::pgwire::{self, Comment, FrontendMessage, Startup, WireError};
 use bytes::{Bytes, BytesMut};
@@ -15,8 +14,8 @@
 
 /// A client that has connected and says nothing is cut off after this time.
 const STARTUP: Duration = Duration::from_secs(10);
-/// Nothing more is read ahead of the answers beyond this: the longest message and some.
-const MOST_BUFFERED: usize = 192 * 1024;
+/// So much is read ahead while an answer is awaited: enough to see the client leave, little to hold.
+const READ_AHEAD: usize = 16 * 1024;
 /// When connections run short those that have been idle for longer than this go.
 const IDLE: Duration = Duration::from_millis(1_000);
 /// A connection that comes during a drain is given this long to bring its request.
@@ -87,8 +86,17 @@
 
 impl<I: Fn() -> RequestId> Client<I> {
     async fn talk(&mut self, mut squeezed: watch::Receiver<()>) -> Result<(), Over> {
-        timeout(STARTUP, self.startup()).await.map_err(|_| Over::Closed)??;
         let mut draining = self.door.draining.clone();
+        // Who stays silent must not hold up the end of a drain.
+        let mut drained = draining.clone();
+        let last_call = async {
+            let _ = drained.wait_for(|draining| *draining).await;
+            sleep(LAST_REQUEST).await;
+        };
+        tokio::select! {
+            started = timeout(STARTUP, self.startup()) => started.map_err(|_| Over::Closed)??,
+            () = last_call => return Ok(()),
+        }
         loop {
             while let Some((message, length)) = FrontendMessage::parse(&self.read)? {
                 let query = match message {
@@ -122,8 +130,9 @@
                 return Ok(());
             }
             let drains = *draining.borrow();
-            // What came during the drain may still bring its first request.
-            let patience = if self.asked { Duration::ZERO } else { LAST_REQUEST };
+            // What came during the drain may still bring its first request, or the rest of one.
+            let idle = self.asked && self.read.is_empty();
+            let patience = if idle { Duration::ZERO } else { LAST_REQUEST };
             let idle_since = Instant::now();
             tokio::select! {
                 biased;
@@ -197,9 +206,10 @@
         // A tenant that the settings do not name has no share of its own: the module gives it full worth.
         let tenant = comment.tenant.as_ref().map_or(Some(0), |t| names.tenants.iter().position(|n| n == t));
         let group = comment.group.ok_or_else(|| ("42601", "the comment lacks `cluster`".to_owned()))?;
-        let since_write = comment.after_ms.filter(|ms| *ms > 0.0);
-        let since_write = since_write.map(|ms| Time(((unix_ms() - ms).max(0.001) * 1e3) as i64));
-        let write = words.trim_start().get(..6).is_some_and(|verb| !verb.eq_ignore_ascii_case("select"));
+        let now = self.door.clock.now();
+        let after = comment.after_ms.filter(|ms| *ms > 0.0).map(|ms| Time((ms * 1e3) as i64));
+        // One that stands ahead of the clock was made just now.
+        let since_write = after.map(|at| Time((now.0 - at.0).max(1)));
         Ok(Request {
             class,
             tenant: tenant.unwrap_or(names.tenants.len()),
@@ -207,7 +217,6 @@
             session: Comment::quoted_key(words).map(SessionId::of),
             again: comment.again,
             since_write,
-            write,
             wait: Duration::try_from_secs_f64(comment.wait_ms / 1e3)
                 .map_err(|_| ("22023", "the comment's `d` is too long".to_owned()))?,
             statement: Statement { text, wait_at: comment.wait_at },
@@ -231,7 +240,7 @@
             return Err(Over::Closed);
         }
         loop {
-            let room = self.read.len() < MOST_BUFFERED;
+            let room = self.read.len() < READ_AHEAD;
             tokio::select! {
                 biased;
                 mail = self.mailbox.recv() => match mail {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -35,7 +35,9 @@
     let since = config.known.as_ref().map(|list| list.index);
     let zones = config.names.zones.clone();
     let follower = tokio::spawn(discovery::follow(config.discovery, zones, since, events.clone()));
+    let clock = clock::Clock::start();
     let door = frontend::Door {
+        clock,
         events: events.clone(),
         names: Arc::new(config.names.clone()),
         ready: is_ready,
@@ -44,7 +46,7 @@
         limit: config.limits.clients,
     };
     let mut front = tokio::spawn(frontend::accept(listener, door));
-    let core = core::Core::new(config, events, ready, Arc::clone(&counters));
+    let core = core::Core::new(config, clock, events, ready, Arc::clone(&counters));
     let mut core = tokio::spawn(core.run(mailbox));
     let ended = loop {
         tokio::select! {
--- a/src/net/upstream/postgres.rs
+++ b/src/net/upstream/postgres.rs
@@ -13,8 +13,8 @@
 
 const USER: &str = "backend";
 const DATABASE: &str = "store";
-/// An answer longer than this is none: a value of 64 KiB, as digits at the worst, and some.
-const MOST_ANSWER: usize = 192 * 1024;
+/// An answer longer than this is none: a value of 64 KiB and its description.
+const MOST_ANSWER: usize = 80 * 1024;
 
 #[derive(Debug)]
 pub(super) struct Connection {
--- a/src/pgwire/backend.rs
+++ b/src/pgwire/backend.rs
@@ -6,8 +6,9 @@
 use winnow::token::{literal, take, take_till};
 use winnow::{ModalResult, Parser};
 
-/// The longest message that is taken: a value of 64 KiB, as digits at the worst.
-const MOST_MESSAGE: usize = 160 * 1024;
+/// The longest message that is taken: a value of 64 KiB, which comes as bytes. With some 480 connections on
+/// either side, answers and statements at their longest still fit into the memory of a proxy.
+const MOST_MESSAGE: usize = 72 * 1024;
 
 /// A message of a ledger host.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/tests/proxy.rs
@@ -0,0 +1,352 @@
+//! The program on sockets: conversations in the language of `scenario`, each with what it guards against.
+
+mod scenario;
+
+use rstest::rstest;
+use scenario::{play, settings, Program};
+
+#[rstest]
+#[case::a_read_is_served_to_the_letter(
+    1,
+    "
+    c1 send startup
+    c1 expect ready
+    c1 send read q1 900
+    h1 expect id=q1,c=any,t=acme k=7,cluster=0 k1
+    h1 send value hello primary
+    c1 expect value hello
+    c1 send text ;
+    c1 expect empty"
+)]
+#[case::what_is_split_and_pipelined_is_answered_in_order(
+    1,
+    "
+    c1 send startup
+    c1 expect ready
+    c1 send raw 5100000008534554        # `SET`, cut off before its last byte,
+    wait 50
+    c1 send raw 00510000000500          # which comes with an empty query
+    c1 expect ready
+    c1 expect empty
+    c1 send read q1 900
+    c1 send read q2 900
+    h1 expect id=q1
+    h1 expect silence 50                # one request of a connection at a time
+    h1 send value one primary
+    h1 expect id=q2
+    h1 send value two primary
+    c1 expect value one
+    c1 expect value two"
+)]
+#[case::encryption_is_declined_and_the_session_goes_on(
+    1,
+    "
+    c1 send ssl
+    c1 expect N
+    c1 send startup
+    c1 expect ready
+    c2 send cancel
+    c2 expect closed"
+)]
+#[case::extended_queries_are_declined_up_to_sync(
+    1,
+    "
+    c1 send startup
+    c1 expect ready
+    c1 send raw 500000000800000000      # Parse
+    c1 send raw 44000000065300
+    c1 send sync
+    c1 expect error 0A000
+    c1 send text
+    c1 expect empty"
+)]
+#[case::a_message_of_no_protocol_ends_the_connection(
+    1,
+    "
+    c1 send startup
+    c1 expect ready
+    c1 send raw 2100000004
+    c1 expect error 08P01
+    c1 expect closed
+    c2 send startup
+    c2 expect ready
+    c2 send raw 51000000027f            # shorter than its own length
+    c2 expect error 08P01
+    c2 expect closed
+    c3 send startup
+    c3 expect ready
+    c3 send raw 517fffffff              # larger than is taken
+    c3 expect error 54000
+    c3 expect closed
+    c4 send raw 000000080002000000      # protocol 2
+    c4 expect error 0A000"
+)]
+#[case::requests_that_make_no_sense_fail_and_are_not_refused(
+    1,
+    "
+    c1 send startup
+    c1 expect ready
+    c1 send text SELECT 1
+    c1 expect error 42601
+    c1 send text SELECT 1 /* id=1,c=any,cluster=0 */
+    c1 expect error 42601
+    c1 send text SELECT 1 /* c=any,d=500,cluster=0 */
+    c1 expect error 42601
+    c1 send text SELECT 1 /* id=1,c=any,d=500 */
+    c1 expect error 42601
+    c1 send text SELECT 1 /* id=1,c=other,d=500,cluster=0 */
+    c1 expect error 22023
+    c1 send text SELECT 1 /* id=1,c=any,d=500,cluster=9 */
+    c1 expect error 22023
+    c1 send text SELECT 1 /* id=1,c=any,d=-5,cluster=0 */
+    c1 expect error 42601
+    c1 send raw 5100000006ff00          # not UTF-8
+    c1 expect error 22021
+    h1 expect silence 50"
+)]
+#[case::a_value_that_looks_like_a_comment_is_none(
+    1,
+    "
+    c1 send startup
+    c1 expect ready
+    c1 send text SELECT '/* d=1 */' /* id=9,c=any,t=acme,d=800,cluster=0 */
+    h1 expect '/* id=9
+    h1 send value x primary
+    c1 expect value x"
+)]
+#[case::a_reset_read_goes_to_another_host(
+    2,
+    "
+    c1 send startup
+    c1 expect ready
+    c1 send read q1 900
+    any expect id=q1
+    any close
+    any expect id=q1
+    any send value second primary
+    c1 expect value second"
+)]
+#[case::a_write_turned_away_is_not_failed(
+    1,
+    "
+    c1 send startup
+    c1 expect ready
+    c1 send write w1 2000
+    h1 expect INSERT id=w1
+    h1 send error 25006
+    h1 expect INSERT id=w1
+    h1 send value done primary
+    c1 expect value done"
+)]
+#[case::a_silent_host_leaves_an_answer_before_the_client_goes(
+    1,
+    "
+    c1 send startup
+    c1 expect ready
+    c1 send read q1 400
+    h1 expect id=q1
+    c1 expect silence 300
+    c1 expect within 95 error 53300 500"
+)]
+#[case::an_error_of_a_host_is_no_value(
+    1,
+    "
+    c1 send startup
+    c1 expect ready
+    c1 send read q1 900
+    h1 expect id=q1
+    h1 send error XX000
+    h1 expect id=q1
+    h1 send error XX000
+    c1 expect error 53300"
+)]
+#[case::the_attempt_of_a_client_that_left_is_called_off(
+    1,
+    "
+    c1 send startup
+    c1 expect ready
+    c1 send read q1 2000
+    h1 expect id=q1
+    c1 close
+    h1 expect closed"
+)]
+#[case::a_client_that_ends_its_side_hears_one_answer(
+    1,
+    "
+    c1 send startup
+    c1 expect ready
+    c1 send read q1 2000
+    h1 expect id=q1
+    c1 close half
+    c1 expect error 57014
+    h1 expect closed
+    c1 expect closed"
+)]
+#[case::a_pooled_connection_that_was_closed_is_not_used(
+    1,
+    "
+    c1 send startup
+    c1 expect ready
+    c1 send write w1 900
+    h1 expect id=w1
+    h1 send value one primary
+    c1 expect value one
+    h1 close
+    c1 send write w2 900
+    h1 expect id=w2
+    h1 send value two primary
+    c1 expect value two"
+)]
+#[case::a_garbled_answer_is_none(
+    2,
+    "
+    c1 send startup
+    c1 expect ready
+    c1 send write w0 900                # by now the roles are known: h1 is the primary
+    h1 expect id=w0
+    h1 send value ok primary
+    c1 expect value ok
+    c1 send read q1 900
+    h2 expect id=q1
+    h2 send raw 44000000
+    h2 send raw 02
+    h1 expect id=q1
+    h1 send value good primary
+    c1 expect value good"
+)]
+#[case::a_read_follows_the_write_of_its_session(
+    2,
+    "
+    c1 send startup
+    c1 expect ready
+    c1 send write w1 900
+    h1 expect id=w1
+    h1 send value done primary 60000    # committed where no replica is yet
+    c1 expect value done
+    c1 send own r1 900
+    h1 expect id=r1                     # so only the primary will do
+    h1 send value mine primary
+    c1 expect value mine
+    h2 expect silence 20"
+)]
+#[case::a_draining_host_gets_nothing_new(
+    2,
+    "
+    list expect since=1
+    c1 send startup
+    c1 expect ready
+    c1 send write w0 900                # by now the roles are known: h1 is the primary
+    h1 expect id=w0
+    h1 send value ok primary
+    c1 expect value ok
+    c1 send read q1 900
+    h2 expect id=q1
+    list send h2 draining
+    wait 50
+    h2 send value finished              # what it has it finishes
+    c1 expect value finished
+    c1 send read q2 900
+    h1 expect id=q2
+    h1 send value other primary
+    c1 expect value other
+    list send h2 up
+    wait 50
+    c1 send read q3 900
+    h2 expect id=q3"
+)]
+#[case::a_watch_that_ends_is_resumed_where_it_was(
+    2,
+    "
+    list expect since=1
+    list send h2 draining
+    wait 50
+    list close
+    list expect follow=1 since=2
+    list send h2 up
+    wait 50
+    c1 send startup
+    c1 expect ready
+    c1 send write w0 900                # by now the roles are known: h1 is the primary
+    h1 expect id=w0
+    h1 send value ok primary
+    c1 expect value ok
+    c1 send read q1 900
+    h2 expect id=q1"
+)]
+#[case::a_watch_that_falls_silent_is_given_up(
+    1,
+    "
+    list expect since=1
+    list expect since=1"
+)]
+#[case::after_sigterm_all_is_answered_and_who_comes_is_served(
+    1,
+    "
+    c1 send startup
+    c1 expect ready
+    c2 send startup
+    c2 expect ready
+    c1 send read q1 2000
+    h1 expect id=q1
+    proxy send TERM
+    c2 expect closed                    # idle: it goes elsewhere
+    c3 send startup
+    c3 expect ready
+    c3 send read q3 900
+    h1 expect id=q3
+    h1 send value late primary
+    c3 expect value late
+    c3 expect closed
+    wait 900
+    c4 send startup                     # still there for the one that waits
+    c4 expect ready
+    c1 expect error 53300
+    c1 expect closed
+    proxy expect exit 0"
+)]
+#[case::counters_are_told_on_request_and_at_the_end(
+    1,
+    "
+    c1 send startup
+    c1 expect ready
+    c1 send read q1 900
+    h1 expect id=q1
+    h1 send value x primary
+    c1 expect value x
+    proxy send USR1
+    proxy expect log counters: taken=1 served=1 sent=1 ok=1
+    c1 send terminate
+    c1 expect closed
+    proxy send TERM
+    proxy expect log counters: clients=
+    proxy expect exit 0"
+)]
+fn conversation(#[case] hosts: usize, #[case] text: &str) {
+    play(hosts, text);
+}
+
+/// A proxy that cannot work says why in one line that names the key, and does not start.
+#[rstest]
+#[case::not_json("{", "GW_CONFIG")]
+#[case::no_settings(r#"{"seed":"1"}"#, "settings")]
+#[case::bad_seed(r#"{"seed":"xyz","settings":{}}"#, "seed")]
+#[case::bad_settings(r#"{"settings":{}}"#, "settings")]
+#[case::few_sockets(r#"{"limits":{"sockets":3},"settings":SETTINGS}"#, "limits.sockets")]
+#[case::no_memory(r#"{"limits":{"memory_mb":0},"settings":SETTINGS}"#, "limits.memory_mb")]
+#[case::bad_host(
+    r#"{"known":{"index":1,"endpoints":[{"name":"a","address":"x","status":"up"}]},"settings":SETTINGS}"#,
+    "known"
+)]
+fn a_faulty_configuration_is_named(#[case] config: &str, #[case] key: &str) {
+    let config = config.replace("SETTINGS", &settings());
+    let mut program = Program::start(&config, "127.0.0.1:1", "127.0.0.1:1");
+    assert!(program.log(&format!("`{key}`")).starts_with("wheelpier: configuration key"));
+    assert_ne!(program.exit(), 0);
+}
+
+#[test]
+fn a_faulty_address_is_named() {
+    let mut program = Program::start(&format!(r#"{{"settings":{}}}"#, settings()), "nowhere", "127.0.0.1:1");
+    program.log("`GW_LISTEN` nowhere");
+    assert_ne!(program.exit(), 0);
+}
--- /dev/null
+++ b/tests/scenario/mod.rs
@@ -0,0 +1,452 @@
+//! A small language for conversations with the proxy: who, then `send`, `expect`, `close` or `wait`.
+//!
+//! Those who speak are clients (`c1`, `c2`, ...), ledger hosts (`h1`, ...), discovery (`list`) and the
+//! `proxy` itself, which is the program started for the scenario. Hosts answer probes by themselves: `h1` as
+//! the primary, the others as replicas that stand at the present. A `#` starts a remark.
+//!
+//! ```text
+//! c1 send startup | ssl | cancel | sync | terminate | raw HEX | text SQL | read ID D | write ID D | own ID D
+//! c1 expect ready | empty | value V | error CODE [DETAIL] | N | closed | silence MS;  c1 close | close half
+//! c1 expect within MS ...: the same, but no later than that
+//! h1 expect WORDS (a query holding them all) | closed | silence MS;  h1 close
+//! h1 send value V [ROLE AHEAD_MS] | error CODE | raw HEX
+//! list send NAME STATUS;  list expect WORDS (a request holding them all);  list close
+//! proxy send TERM;  proxy expect exit CODE | log WORDS
+//! any expect WORDS: the query comes to whatever host, which `any` stands for from then on
+//! ```
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const PATIENCE: Duration = Duration::from_secs(8);
+
+pub fn settings() -> String {
+    let grade = |name: &str, more: &str| {
+        format!(r#"{{"name":"{name}","credit":1,"onTime":0.4,"deadline":3.0,"lateWorth":0.2,{more}}}"#)
+    };
+    let grades = [
+        grade("any", r#""repeat":"pure""#),
+        grade("own", r#""repeat":"pure""#),
+        grade("write", r#""repeat":"token","group":"cell","window":3.0"#),
+    ];
+    format!(
+        r#"{{"balancers":1,"areas":["z"],"locality":0,"tick":0.005,"discovery":"pushed","grades":[{}],
+        "customers":[{{"name":"acme","quotaPerS":100,"share":1}}],
+        "familyInfo":{{"answersStamped":true,"freshness":["any","session","write"],"writeMarks":"remembered",
+        "whenBehind":"wait","wait":0.02,"roleInList":"off"}},"guarantees":{{"cold":18,"coldFrom":0.15,"fall":3,
+        "fallMultiple":3}},"limits":{{"connectTimeout":0.25,"keepalive":15,"maxAttempts":8,"maxRetryAfter":0.5,
+        "mayCancel":true,"probes":true,"retryAfter":true,"secondCopies":true,"mostHeld":1000}},
+        "report":{{"how":"on_probe","fields":["x0","x1","cpu"]}}}}"#,
+        grades.join(",")
+    )
+}
+
+fn unix_ms() -> i64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as i64
+}
+
+fn message(kind: u8, content: &[u8]) -> Vec<u8> {
+    [&[kind][..], &(content.len() as u32 + 4).to_be_bytes(), content].concat()
+}
+
+fn parameter(name: &str, value: &str) -> Vec<u8> {
+    message(b'S', format!("{name}\0{value}\0").as_bytes())
+}
+
+/// The whole of a row's messages, as they must reach the client to the letter.
+fn row(value: &str) -> Vec<u8> {
+    let description = [&[0, 1][..], b"content\0", &[0; 6], &17u32.to_be_bytes(), &[255; 6], &[0, 1]].concat();
+    let data = [&[0, 1][..], &(value.len() as u32).to_be_bytes(), value.as_bytes()].concat();
+    [message(b'T', &description), message(b'D', &data), message(b'C', b"SELECT 1\0")].concat()
+}
+
+fn read_message(stream: &mut TcpStream) -> Option<(u8, Vec<u8>)> {
+    let mut head = [0; 5];
+    stream.read_exact(&mut head).ok()?;
+    let mut content = vec![0; u32::from_be_bytes(head[1..].try_into().unwrap()) as usize - 4];
+    stream.read_exact(&mut content).ok()?;
+    Some((head[0], content))
+}
+
+/// A query that has come to a host, and the connection on which it waits for its answer.
+type Query = (String, TcpStream);
+
+/// A ledger host: greets, answers probes and passes queries on to the scenario.
+struct Host {
+    address: SocketAddr,
+    queries: Receiver<Query>,
+    current: Option<TcpStream>,
+}
+
+impl Host {
+    fn start(primary: bool) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (sender, queries) = channel();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let sender = sender.clone();
+                std::thread::spawn(move || Self::greet(stream, primary, sender));
+            }
+        });
+        Self { address, queries, current: None }
+    }
+
+    fn greet(mut stream: TcpStream, primary: bool, sender: Sender<Query>) -> Option<()> {
+        let mut length = [0; 4];
+        stream.read_exact(&mut length).ok()?;
+        stream.read_exact(&mut vec![0; u32::from_be_bytes(length) as usize - 4]).ok()?;
+        let hello = [message(b'R', &[0; 4]), message(b'Z', b"I")].concat();
+        stream.write_all(&hello).ok()?;
+        while let Some((b'Q', text)) = read_message(&mut stream) {
+            let text = String::from_utf8(text).ok()?;
+            if text.starts_with("SHOW load") {
+                let load = format!("x0={},x1={},util=0.1", unix_ms() as f64 / 1e3, u8::from(primary));
+                stream.write_all(&[row(&load), message(b'Z', b"I")].concat()).ok()?;
+            } else {
+                sender.send((text, stream.try_clone().ok()?)).ok()?;
+            }
+        }
+        None
+    }
+}
+
+/// Discovery: keeps the list and the watch that is open.
+struct List {
+    address: SocketAddr,
+    requests: Receiver<String>,
+    watch: Arc<Mutex<Option<TcpStream>>>,
+    index: u64,
+}
+
+impl List {
+    fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (sender, requests) = channel();
+        let watch = Arc::new(Mutex::new(None));
+        let open = Arc::clone(&watch);
+        std::thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let mut first = String::new();
+                let mut lines = BufReader::new(stream.try_clone().unwrap()).lines().map_while(Result::ok);
+                lines.by_ref().take_while(|line| !line.is_empty()).for_each(|line| first += &(line + " "));
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\n\n\r\n");
+                *open.lock().unwrap() = Some(stream);
+                let _ = sender.send(first);
+            }
+        });
+        Self { address, requests, watch, index: 1 }
+    }
+
+    fn line(&mut self, entries: &str) {
+        self.index += 1;
+        let line = format!("{{\"index\":{},\"snapshot\":false,\"endpoints\":[{entries}]}}\n", self.index);
+        let chunk = format!("{:x}\r\n{line}\r\n", line.len());
+        self.watch.lock().unwrap().as_mut().expect("a watch is open").write_all(chunk.as_bytes()).unwrap();
+    }
+}
+
+fn entry(name: &str, address: SocketAddr, status: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","address":"{address}","zone":"z","group":0,"status":"{status}","since_ms":0}}"#
+    )
+}
+
+/// The program itself; ended with the scenario.
+pub struct Program {
+    child: Child,
+    log: Receiver<String>,
+}
+
+impl Program {
+    pub fn start(config: &str, listen: &str, discovery: &str) -> Self {
+        let stamp = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos();
+        let file = std::env::temp_dir().join(format!("wheelpier-{}-{stamp}.json", std::process::id()));
+        std::fs::write(&file, config).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_wheelpier"))
+            .envs([("GW_NAME", "n0"), ("GW_LISTEN", listen), ("GW_DISCOVERY", discovery)])
+            .env("GW_CONFIG", &file)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let (sender, log) = channel();
+        let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| sender.send(line)));
+        Self { child, log }
+    }
+
+    pub fn log(&self, words: &str) -> String {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            match self.log.recv_timeout(until.saturating_duration_since(Instant::now())) {
+                Ok(line) if words.split(' ').all(|word| line.contains(word)) => return line,
+                Ok(_) => {}
+                Err(problem) => panic!("no line in the log holds `{words}`: {problem}"),
+            }
+        }
+    }
+
+    pub fn exit(&mut self) -> i32 {
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code().expect("ended by itself");
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        panic!("the program does not end")
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub struct Scenario {
+    listen: SocketAddr,
+    program: Program,
+    hosts: Vec<Host>,
+    list: List,
+    clients: HashMap<String, TcpStream>,
+    /// The host that took the last query of `any`.
+    any: usize,
+}
+
+impl Scenario {
+    /// A proxy that knows `hosts` ledger hosts of group 0 and is ready.
+    fn start(hosts: usize) -> Self {
+        let hosts: Vec<Host> = (0..hosts).map(|n| Host::start(n == 0)).collect();
+        let list = List::start();
+        let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let entries = hosts.iter().enumerate().map(|(n, h)| entry(&format!("h{}", n + 1), h.address, "up"));
+        let entries = entries.collect::<Vec<_>>().join(",");
+        let known = format!(r#"{{"index":1,"snapshot":true,"endpoints":[{entries}]}}"#);
+        let limits = r#"{"cores":1.0,"memory_mb":192,"sockets":256}"#;
+        let config =
+            format!(r#"{{"seed":"8c1f","limits":{limits},"known":{known},"settings":{}}}"#, settings());
+        let program = Program::start(&config, &listen.to_string(), &list.address.to_string());
+        let until = Instant::now() + PATIENCE;
+        while TcpStream::connect(listen).is_err() {
+            assert!(Instant::now() < until, "the proxy does not listen");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        Self { listen, program, hosts, list, clients: HashMap::new(), any: 0 }
+    }
+
+    fn line(&mut self, line: &str) {
+        let mut words = line.splitn(3, ' ');
+        let (who, verb, what) = (words.next().unwrap(), words.next().unwrap(), words.next().unwrap_or(""));
+        let number = || who[1..].parse::<usize>().unwrap() - 1;
+        match (&who[..1], verb) {
+            ("w", _) => std::thread::sleep(Duration::from_millis(verb.parse().unwrap())),
+            ("p", "send") => {
+                let pid = self.program.child.id().to_string();
+                assert!(Command::new("kill").args([&format!("-{what}"), &pid]).status().unwrap().success());
+            }
+            ("p", "expect") => match what.split_once(' ') {
+                Some(("exit", code)) => assert_eq!(self.program.exit().to_string(), code),
+                Some(("log", words)) => drop(self.program.log(words)),
+                _ => panic!("what?"),
+            },
+            ("l", "send") => {
+                let (name, status) = what.split_once(' ').unwrap();
+                let address = self.hosts[name[1..].parse::<usize>().unwrap() - 1].address;
+                self.list.line(&entry(name, address, status));
+            }
+            ("l", "expect") => {
+                let request = self.list.requests.recv_timeout(PATIENCE).expect("a request for the list");
+                assert!(what.split(' ').all(|word| request.contains(word)), "{request}");
+            }
+            ("l", "close") => {
+                let watch = self.list.watch.lock().unwrap().take().expect("a watch is open");
+                watch.shutdown(Shutdown::Both).unwrap();
+            }
+            ("a", "expect") => {
+                let until = Instant::now() + PATIENCE;
+                let soon = |host: &mut Host| host.take(Duration::from_millis(5));
+                let (n, text) = loop {
+                    assert!(Instant::now() < until, "no host has a query");
+                    let mut hosts = self.hosts.iter_mut().enumerate();
+                    if let Some(found) = hosts.find_map(|(n, host)| Some((n, soon(host)?))) {
+                        break found;
+                    }
+                };
+                assert!(what.split(' ').all(|word| text.contains(word)), "`{text}` lacks of `{what}`");
+                self.any = n;
+            }
+            ("a", _) => self.hosts[self.any].act(verb, what),
+            ("h", _) => self.hosts[number()].act(verb, what),
+            ("c", _) => self.client(who, verb, what),
+            _ => panic!("who?"),
+        }
+    }
+
+    fn client(&mut self, who: &str, verb: &str, what: &str) {
+        let listen = self.listen;
+        let stream = self.clients.entry(who.to_owned()).or_insert_with(|| {
+            let stream = TcpStream::connect(listen).expect("the proxy takes clients");
+            stream.set_read_timeout(Some(PATIENCE)).unwrap();
+            stream
+        });
+        match verb {
+            "send" => stream.write_all(&client_bytes(what)).unwrap(),
+            "close" if what == "half" => stream.shutdown(Shutdown::Write).unwrap(),
+            "close" => drop(self.clients.remove(who)),
+            "expect" => client_expects(stream, what),
+            _ => panic!("does what?"),
+        }
+    }
+}
+
+impl Host {
+    /// Takes the next query, if there is one; its text.
+    fn take(&mut self, patience: Duration) -> Option<String> {
+        let (text, stream) = self.queries.recv_timeout(patience).ok()?;
+        self.current = Some(stream);
+        Some(text)
+    }
+
+    fn send(&mut self, what: &str) {
+        let stream = self.current.as_mut().expect("a query has come");
+        let mut words = what.split(' ');
+        let bytes = match (words.next().unwrap(), words.next().unwrap()) {
+            ("value", value) => {
+                let role = words.next().unwrap_or("replica");
+                let ahead: i64 = words.next().map_or(0, |ms| ms.parse().unwrap());
+                let stamp = parameter("applied_ms", &(unix_ms() + ahead).to_string());
+                [row(value), parameter("role", role), stamp, message(b'Z', b"I")].concat()
+            }
+            ("error", code) => {
+                let fields = format!("SERROR\0C{code}\0Mno\0\0");
+                [message(b'E', fields.as_bytes()), message(b'Z', b"I")].concat()
+            }
+            (_, hex) => unhex(hex),
+        };
+        stream.write_all(&bytes).unwrap();
+    }
+
+    fn act(&mut self, verb: &str, what: &str) {
+        match (verb, what.split_once(' ')) {
+            ("expect", None) if what == "closed" => {
+                let stream = self.current.as_mut().expect("a query has come");
+                stream.set_read_timeout(Some(PATIENCE)).unwrap();
+                // The thread that greets reads too; whichever of the two sees the end, it is one.
+                let end = stream.read(&mut [0]);
+                assert!(
+                    matches!(end, Ok(0)) || end.is_err_and(|e| e.kind() != std::io::ErrorKind::WouldBlock)
+                );
+            }
+            ("expect", Some(("silence", ms))) => {
+                let query = self.queries.recv_timeout(Duration::from_millis(ms.parse().unwrap()));
+                assert_eq!(query.err(), Some(RecvTimeoutError::Timeout));
+            }
+            ("expect", _) => {
+                let text = self.take(PATIENCE).expect("a query");
+                assert!(what.split(' ').all(|word| text.contains(word)), "`{text}` lacks of `{what}`");
+            }
+            ("close", _) => self.current.take().expect("a query").shutdown(Shutdown::Both).unwrap(),
+            ("send", _) => self.send(what),
+            _ => panic!("does what?"),
+        }
+    }
+}
+
+fn unhex(hex: &str) -> Vec<u8> {
+    (0..hex.len() / 2).map(|n| u8::from_str_radix(&hex[2 * n..2 * n + 2], 16).unwrap()).collect()
+}
+
+fn client_bytes(what: &str) -> Vec<u8> {
+    let (kind, rest) = what.split_once(' ').unwrap_or((what, ""));
+    let query = |text: &str| message(b'Q', format!("{text}\0").as_bytes());
+    let asks = |verb: &str, class: &str| {
+        let (id, d) = rest.split_once(' ').unwrap();
+        query(&format!("{verb} /* id={id},c={class},t=acme,d={d},k=7,cluster=0 */"))
+    };
+    let packet = |code: u32, rest: &[u8]| {
+        [&(rest.len() as u32 + 8).to_be_bytes()[..], &code.to_be_bytes(), rest].concat()
+    };
+    match kind {
+        "startup" => packet(3 << 16, b"user\0backend\0database\0store\0\0"),
+        "ssl" => packet(80_877_103, &[]),
+        "cancel" => packet(80_877_102, &[0; 8]),
+        "sync" => message(b'S', &[]),
+        "terminate" => message(b'X', &[]),
+        "raw" => unhex(rest),
+        "text" => query(rest),
+        "read" => asks("SELECT content FROM kv WHERE name = 'k1'", "any"),
+        "own" => asks("SELECT content FROM kv WHERE name = 'k1'", "own"),
+        "write" => asks("INSERT INTO kv (name, content) VALUES ('k1', '\\x00') RETURNING content", "write"),
+        _ => panic!("sends what?"),
+    }
+}
+
+fn client_expects(stream: &mut TcpStream, what: &str) {
+    let (kind, rest) = what.split_once(' ').unwrap_or((what, ""));
+    match kind {
+        "N" => {
+            let mut byte = [0];
+            stream.read_exact(&mut byte).unwrap();
+            return assert_eq!(&byte, b"N");
+        }
+        "closed" => return assert!(read_message(stream).is_none(), "the connection is still open"),
+        "silence" => {
+            stream.set_read_timeout(Some(Duration::from_millis(rest.parse().unwrap()))).unwrap();
+            let heard = stream.peek(&mut [0]);
+            assert!(heard.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock));
+            return stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        }
+        "within" => {
+            let (ms, what) = rest.split_once(' ').unwrap();
+            stream.set_read_timeout(Some(Duration::from_millis(ms.parse().unwrap()))).unwrap();
+            client_expects(stream, what);
+            return stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        }
+        _ => {}
+    }
+    let mut raw = Vec::new();
+    let mut heard = String::new();
+    loop {
+        match read_message(stream) {
+            None => panic!("closed after `{heard}` instead of {what}"),
+            Some((b'Z', _)) => break,
+            Some((b'E', fields)) => {
+                let fields: Vec<&str> = std::str::from_utf8(&fields).unwrap().split('\0').collect();
+                let field = |kind| fields.iter().find_map(|f| f.strip_prefix::<char>(kind)).unwrap_or("");
+                heard = format!("error {} {}", field('C'), field('D')).trim_end().to_owned();
+                if field('S') == "FATAL" {
+                    break;
+                }
+            }
+            Some((b'I', _)) => heard = "empty".to_owned(),
+            Some((kind @ (b'T' | b'D' | b'C'), content)) => raw.extend(message(kind, &content)),
+            Some(_) => {}
+        }
+    }
+    match kind {
+        "value" => assert_eq!(raw, row(rest), "the value to the letter; heard `{heard}`"),
+        "ready" => assert_eq!(heard, ""),
+        _ => assert!(heard.starts_with(what), "heard `{heard}` instead of `{what}`"),
+    }
+}
+
+/// Plays a scenario with so many ledger hosts.
+pub fn play(hosts: usize, text: &str) {
+    let mut scenario = Scenario::start(hosts);
+    for (n, line) in text.lines().enumerate() {
+        let line = line.split('#').next().unwrap_or("").trim();
+        if !line.is_empty() {
+            // Captured: shown when the scenario fails, up to the line that did.
+            eprintln!("{:3} {line}", n + 1);
+            scenario.line(line);
+        }
+    }
+}
