Refuse, not fail, before the first list; bound absurd waits; keep seats for clients that stay

Seen: by reading: a request before the first list failed as of an unknown group; a wait of 1e300 ms would panic the timer queue and so end the proxy; a host's position near the end of 64 bits overflowed; a client that came when all seats were taken stayed refused although others had left. Checked: each has a conversation in tests/proxy.rs; the pgwire parsers are tested on cut-off and garbled bytes.

--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -157,17 +157,18 @@
     async fn arrival(&mut self, arrival: Arrival) {
         let Arrival { id, request, arrived, client } = arrival;
         self.counters.taken();
+        let settings = &self.config.settings;
+        let retry_after = settings.retry_after.then_some(settings.max_retry_after);
+        // Before the first list no group is known, but any may come.
+        if self.groups.is_empty() || self.open >= self.config.most_held {
+            self.counters.ended(Ended::Refused);
+            return mail(&client, id, Answer::Refused { retry_after });
+        }
         // The module would hold a request of a group that does not exist until its client leaves.
         if !self.groups.contains(&request.group) {
             self.counters.ended(Ended::Failed);
             return mail(&client, id, Answer::Invalid(format!("there is no group {}", request.group)));
         }
-        if self.open >= self.config.most_held {
-            self.counters.ended(Ended::Refused);
-            let retry_after =
-                self.config.settings.retry_after.then_some(self.config.settings.max_retry_after);
-            return mail(&client, id, Answer::Refused { retry_after });
-        }
         let deadline = arrived + request.wait.saturating_sub(WAY_BACK.min(request.wait / 10));
         let last_call = arrived + request.wait.saturating_sub(LAST_CALL.min(request.wait / 20));
         let last_call = Some(self.timers.insert_at(Due::LastCall(id), last_call));
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -111,6 +111,7 @@
 /// Takes clients in; ends after SIGTERM, once all are answered and no more come.
 pub(crate) async fn accept(listener: TcpListener, door: Door) {
     let ids = Arc::new(AtomicU64::new(0));
+    let seats = Arc::new(());
     let (squeeze, squeezed) = watch::channel(());
     let mut draining = door.draining.clone();
     let mut leave_at: Option<Instant> = None;
@@ -131,14 +132,15 @@
                     if let Some(at) = &mut leave_at {
                         *at = (*at).max(Instant::now() + QUIET);
                     }
-                    if clients.len() >= door.limit {
+                    let taken = Arc::strong_count(&seats) - 1;
+                    if taken >= door.limit {
                         squeeze.send_replace(());
                     }
-                    if clients.len() < door.limit + OVERFLOW {
-                        let full = clients.len() >= door.limit;
+                    if taken < door.limit + OVERFLOW {
                         let ids = Arc::clone(&ids);
                         let id = move || RequestId(ids.fetch_add(1, Relaxed));
-                        clients.spawn(postgres::serve(stream, door.clone(), id, squeezed.clone(), full));
+                        let seat = Arc::clone(&seats);
+                        clients.spawn(postgres::serve(stream, door.clone(), id, squeezed.clone(), seat));
                     }
                 }
                 Err(problem) => {
--- a/src/net/frontend/postgres.rs
+++ b/src/net/frontend/postgres.rs
@@ -6,6 +6,7 @@
 use crate::pgwire::{self, Comment, FrontendMessage, Startup, WireError};
 use bytes::{Bytes, BytesMut};
 use std::io;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -18,6 +19,8 @@
 const READ_AHEAD: usize = 16 * 1024;
 /// When connections run short those that have been idle for longer than this go.
 const IDLE: Duration = Duration::from_millis(1_000);
+/// A client that waits longer is taken to wait so long: timers cannot be set for any time to come.
+const MOST_WAIT: Duration = Duration::from_secs(3_600);
 /// A connection that comes during a drain is given this long to bring its request.
 const LAST_REQUEST: Duration = Duration::from_millis(500);
 /// A client that takes nothing of its answer for so long is given up.
@@ -56,8 +59,10 @@
     ended: bool,
     /// Whether it has asked anything since it came.
     asked: bool,
-    /// There are too many clients: this one's requests are refused.
-    full: bool,
+    /// It came when all seats were taken: its requests are refused while they are.
+    over: bool,
+    /// Held for as long as the client is here.
+    seat: Arc<()>,
     /// In a run of extended messages after an error: all is skipped up to Sync.
     skipping: bool,
 }
@@ -68,14 +73,16 @@
     door: Door,
     id: impl Fn() -> RequestId,
     squeezed: watch::Receiver<()>,
-    full: bool,
+    seat: Arc<()>,
 ) {
     let _ = stream.set_nodelay(true);
     // One request at a time, one answer each: the mailbox is never full.
     let (address, mailbox) = mpsc::channel(2);
     let (read, out) = (BytesMut::with_capacity(1024), BytesMut::with_capacity(1024));
     let (ended, asked, skipping) = (false, false, false);
-    let mut client = Client { stream, door, id, mailbox, address, read, out, ended, asked, full, skipping };
+    let over = taken(&seat) > door.limit;
+    let mut client =
+        Client { stream, door, id, mailbox, address, read, out, ended, asked, over, seat, skipping };
     if let Err(Over::Broken(code, problem)) = client.talk(squeezed).await {
         client.door.counters.malformed();
         pgwire::error(&mut client.out, "FATAL", code, &problem, None);
@@ -126,7 +133,7 @@
                     None => self.flush().await?,
                 }
             }
-            if self.ended || (self.full && self.asked) {
+            if self.ended || (self.full() && self.asked) {
                 return Ok(());
             }
             let drains = *draining.borrow();
@@ -217,8 +224,7 @@
             session: Comment::quoted_key(words).map(SessionId::of),
             again: comment.again,
             since_write,
-            wait: Duration::try_from_secs_f64(comment.wait_ms / 1e3)
-                .map_err(|_| ("22023", "the comment's `d` is too long".to_owned()))?,
+            wait: Duration::try_from_secs_f64(comment.wait_ms / 1e3).map_or(MOST_WAIT, |d| d.min(MOST_WAIT)),
             statement: Statement { text, wait_at: comment.wait_at },
         })
     }
@@ -230,7 +236,7 @@
             self.error("57014", "the client has ended the connection");
             return Ok(());
         }
-        if self.full {
+        if self.full() {
             self.error("53300", "too many clients are connected");
             return Ok(());
         }
@@ -265,6 +271,10 @@
         }
     }
 
+    fn full(&self) -> bool {
+        self.over && taken(&self.seat) > self.door.limit
+    }
+
     fn answer(&mut self, answer: Answer) {
         match answer {
             Answer::Served(value) => self.out.extend_from_slice(&value),
@@ -292,6 +302,11 @@
     }
 }
 
+/// How many clients are here; the door itself holds one seat.
+fn taken(seat: &Arc<()>) -> usize {
+    Arc::strong_count(seat) - 1
+}
+
 /// The tag of a statement that only sets up a session: libraries send them; they have no effect here.
 fn session_command(words: &str) -> Option<&'static str> {
     let verb = words.split_whitespace().next()?.trim_end_matches(';');
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -54,7 +54,8 @@
     /// In whole milliseconds: a commit up, so that no read misses it; what is applied down, as a lower bound.
     pub fn rounded(self, commit: bool) -> Position {
         let ms = if commit { self.0.ceil() } else { self.0.floor() };
-        Position(ms as i64 * 1000)
+        // A host may write anything.
+        Position((ms as i64).saturating_mul(1000))
     }
 }
 
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -254,6 +254,63 @@
     c1 send read q3 900
     h2 expect id=q3"
 )]
+#[case::an_idle_connection_is_retired_well_before_its_host_would(
+    1,
+    "
+    c1 send startup
+    c1 expect ready
+    c1 send write w1 900
+    h1 expect id=w1
+    h1 send value one primary
+    c1 expect value one
+    wait 1100                           # the host would close it after 1500 ms
+    h1 expect closed"
+)]
+#[case::clients_beyond_the_limit_are_refused_and_not_cut_off(
+    1,
+    "
+    c1-16 send startup                  # 64 descriptors leave 16 for clients
+    c1-16 expect ready
+    c17 send startup
+    c17 expect ready
+    c17 send read q1 900
+    c17 expect error 53300
+    c17 expect closed
+    wait 1000
+    c18 send startup                    # by now the others are idle for long: they make room
+    c18 expect ready
+    c1-16 expect closed
+    c18 send read q2 900
+    h1 expect id=q2
+    h1 send value x primary
+    c18 expect value x"
+)]
+#[case::a_wait_beyond_all_measure_is_taken(
+    1,
+    "
+    c1 send startup
+    c1 expect ready
+    c1 send read q1 1e300
+    h1 expect id=q1,c=any,t=acme,d=3
+    h1 send value x primary
+    c1 expect value x
+    c1 send read q2 0
+    c1 expect error 53300"
+)]
+#[case::a_position_beyond_all_measure_is_taken(
+    1,
+    "
+    c1 send startup
+    c1 expect ready
+    c1 send write w1 900
+    h1 expect id=w1
+    h1 send value x primary 9000000000000000000
+    c1 expect value x
+    c1 send own r1 900
+    h1 expect id=r1
+    h1 send value y primary
+    c1 expect value y"
+)]
 #[case::a_watch_that_ends_is_resumed_where_it_was(
     2,
     "
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -12,6 +12,7 @@
 //! h1 send value V [ROLE AHEAD_MS] | error CODE | raw HEX
 //! list send NAME STATUS;  list expect WORDS (a request holding them all);  list close
 //! proxy send TERM;  proxy expect exit CODE | log WORDS
+//! c1-9 ...: the same for each of them
 //! any expect WORDS: the query comes to whatever host, which `any` stands for from then on
 //! ```
 
@@ -39,7 +40,7 @@
         "customers":[{{"name":"acme","quotaPerS":100,"share":1}}],
         "familyInfo":{{"answersStamped":true,"freshness":["any","session","write"],"writeMarks":"remembered",
         "whenBehind":"wait","wait":0.02,"roleInList":"off"}},"guarantees":{{"cold":18,"coldFrom":0.15,"fall":3,
-        "fallMultiple":3}},"limits":{{"connectTimeout":0.25,"keepalive":15,"maxAttempts":8,"maxRetryAfter":0.5,
+        "fallMultiple":3}},"limits":{{"connectTimeout":0.25,"keepalive":1.5,"maxAttempts":8,"maxRetryAfter":0.5,
         "mayCancel":true,"probes":true,"retryAfter":true,"secondCopies":true,"mostHeld":1000}},
         "report":{{"how":"on_probe","fields":["x0","x1","cpu"]}}}}"#,
         grades.join(",")
@@ -230,7 +231,7 @@
         let entries = hosts.iter().enumerate().map(|(n, h)| entry(&format!("h{}", n + 1), h.address, "up"));
         let entries = entries.collect::<Vec<_>>().join(",");
         let known = format!(r#"{{"index":1,"snapshot":true,"endpoints":[{entries}]}}"#);
-        let limits = r#"{"cores":1.0,"memory_mb":192,"sockets":256}"#;
+        let limits = r#"{"cores":1.0,"memory_mb":192,"sockets":64}"#;
         let config =
             format!(r#"{{"seed":"8c1f","limits":{limits},"known":{known},"settings":{}}}"#, settings());
         let program = Program::start(&config, &listen.to_string(), &list.address.to_string());
@@ -322,7 +323,7 @@
             ("value", value) => {
                 let role = words.next().unwrap_or("replica");
                 let ahead: i64 = words.next().map_or(0, |ms| ms.parse().unwrap());
-                let stamp = parameter("applied_ms", &(unix_ms() + ahead).to_string());
+                let stamp = parameter("applied_ms", &unix_ms().saturating_add(ahead).to_string());
                 [row(value), parameter("role", role), stamp, message(b'Z', b"I")].concat()
             }
             ("error", code) => {
@@ -446,7 +447,13 @@
         if !line.is_empty() {
             // Captured: shown when the scenario fails, up to the line that did.
             eprintln!("{:3} {line}", n + 1);
-            scenario.line(line);
+            match line.split_once(' ').and_then(|(who, rest)| Some((who.split_once('-')?, rest))) {
+                None => scenario.line(line),
+                Some(((from, to), rest)) => {
+                    let (from, to): (u32, u32) = (from[1..].parse().unwrap(), to.parse().unwrap());
+                    (from..=to).for_each(|n| scenario.line(&format!("c{n} {rest}")));
+                }
+            }
         }
     }
 }
