Refuse at half of their time also reads that every host turned away

Seen: the log of fleet-1 shows 65 reads refused late although attempts had been tried; none had run.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -725,9 +725,9 @@
         let hopeless = class.late_worth <= 0.0 && aim_left < self.pace[open.class].work / 2.0;
         let over =
             self.now.0 >= open.deadline.0 - MARGIN_US || open.attempts >= self.s.max_attempts || open.spent;
-        // A read that has waited half its time unsent had better be asked again: its client is told when.
+        // A read that no host took in half its time had better be asked again: its client is told when.
         let half = (open.arrived.0 + open.deadline.0) / 2 - 2 * LOOK_US;
-        let idle = open.attempts == 0 && !self.needs_primary(open) && self.now.0 >= half;
+        let idle = open.may_have_run.is_none() && !self.needs_primary(open) && self.now.0 >= half;
         if !hopeless && !over && !idle && self.may_repeat(open, None) {
             return;
         }
