--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -361,6 +361,44 @@
     c1 expect closed
     proxy expect exit 0"
 )]
+#[case::a_client_that_never_says_who_it_is_holds_up_no_drain(
+    1,
+    "
+    c1 send raw 0000
+    wait 50
+    proxy send TERM
+    proxy expect exit 0"
+)]
+#[case::a_crowd_at_a_silent_host_is_answered_in_time(
+    2,
+    "
+    c1-16 send startup
+    c1-16 expect ready
+    c1-16 send read q 500
+    any expect id=q
+    c1-16 expect within 500 error 53300
+    c1-16 send read q 500               # and the proxy goes on
+    c1-16 expect within 500 error 53300"
+)]
+#[case::a_host_that_comes_back_elsewhere_keeps_its_place(
+    2,
+    "
+    list expect since=1
+    c1 send startup
+    c1 expect ready
+    c1 send write w0 900
+    h1 expect id=w0
+    h1 send value ok primary
+    c1 expect value ok
+    list send h1 removed
+    h1 expect closed                    # idle connections to what is gone are of no use
+    list send h1 up
+    wait 50
+    c1 send write w1 900
+    h1 expect id=w1
+    h1 send value back primary
+    c1 expect value back"
+)]
 #[case::counters_are_told_on_request_and_at_the_end(
     1,
     "
