--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,9 +3,10 @@
 //! [`run_from_env`] runs it as its environment says; [`net::run`] takes a [`config::Config`] that a program
 //! has made by itself.
 //!
-//! All decisions stand apart from the sockets. A [`Router`] is a state machine without I/O: it is told what happened and when, and answers with
-//! the [`Action`]s to carry out. Its ordinary path is the session token of BEE-19044: a read goes to
-//! a replica whose applied position has reached the session's last write, else to the primary.
+//! All decisions stand apart from the sockets. A [`Router`] is a state machine without I/O: it is told what
+//! happened and when, and answers with the [`Action`]s to carry out. Its ordinary path is the session token
+//! of BEE-19044: a read goes to a replica whose applied position has reached the session's last write, else
+//! to the primary.
 //!
 //! ```
 //! use wheelpier::{Action, Event, HostEntry, HostId, HostState, ListKind, Request, RequestId};
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -165,7 +165,7 @@
     "
     c1 send startup
     c1 expect ready
-    c1 send read q1 2000
+    c1 send read q1 60000
     h1 expect id=q1
     c1 close
     h1 expect closed"
@@ -175,7 +175,7 @@
     "
     c1 send startup
     c1 expect ready
-    c1 send read q1 2000
+    c1 send read q1 60000
     h1 expect id=q1
     c1 close half
     c1 expect error 57014
