--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -168,7 +168,9 @@
     c1 send read q1 60000
     h1 expect id=q1
     c1 close
-    h1 expect closed"
+    h1 expect closed
+    proxy send USR1
+    proxy expect log counters: taken=1 left=1 sent=1 cancelled=1"
 )]
 #[case::a_client_that_ends_its_side_hears_one_answer(
     1,
@@ -195,7 +197,9 @@
     c1 send write w2 900
     h1 expect id=w2
     h1 send value two primary
-    c1 expect value two"
+    c1 expect value two
+    proxy send USR1
+    proxy expect log counters: sent=2 ok=2 reset=0"
 )]
 #[case::a_garbled_answer_is_none(
     2,
