Give short waits a wider gap between the attempt's end and the last call

The way back now takes up to a fifth of a short wait instead of a tenth. The router's error at the start is typed, no expect.

--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -7,7 +7,8 @@
 use crate::config::Config;
 use crate::counters::{Counters, Ended};
 use crate::interface::{
-    Action, Event as Told, Freshness, HostEntry, HostId, HostState, ListKind, Outcome, Reply, RequestId, Time,
+    Action, Event as Told, Freshness, HostEntry, HostId, HostState, ListKind, Outcome, Reply, RequestId,
+    SettingsError, Time,
 };
 use crate::policy::Router;
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -91,10 +92,9 @@
         events: mpsc::Sender<Event>,
         ready: watch::Sender<bool>,
         counters: Arc<Counters>,
-    ) -> Self {
-        let router = Router::new(config.settings.clone(), config.seed);
-        Self {
-            router: router.expect("the configuration was checked with the same check"),
+    ) -> Result<Self, SettingsError> {
+        Ok(Self {
+            router: Router::new(config.settings.clone(), config.seed)?,
             clock,
             events,
             peers: Vec::new(),
@@ -109,7 +109,7 @@
             config,
             actions: Vec::new(),
             next: VecDeque::new(),
-        }
+        })
     }
 
     pub async fn run(mut self, mut mailbox: mpsc::Receiver<Event>) {
@@ -169,7 +169,7 @@
             self.counters.ended(Ended::Failed);
             return mail(&client, id, Answer::Invalid(format!("there is no group {}", request.group)));
         }
-        let deadline = arrived + request.wait.saturating_sub(WAY_BACK.min(request.wait / 10));
+        let deadline = arrived + request.wait.saturating_sub(WAY_BACK.min(request.wait / 5));
         let last_call = arrived + request.wait.saturating_sub(LAST_CALL.min(request.wait / 20));
         let last_call = Some(self.timers.insert_at(Due::LastCall(id), last_call));
         let ttl = micros(deadline.saturating_duration_since(Instant::now()));
@@ -213,11 +213,10 @@
     async fn last_call(&mut self, id: RequestId) {
         if let Some(held) = self.table.get_mut(&id) {
             held.last_call = None;
-            let (sent, late) = (&held.sent, held.deadline.elapsed());
-            eprintln!("request {}: write={} sent={sent:?} out={} late={late:?}", id.0, held.write, held.out);
+            let Held { sent, out, .. } = held;
+            eprintln!("request {}: no answer by its deadline; sent to {sent:?}, {out} out", id.0);
         }
         if let Some(client) = self.close(id, Ended::Failed) {
-            eprintln!("request {}: no answer by its deadline", id.0);
             mail(&client, id, Answer::Failed);
             self.tell(Told::ClientLeft(id)).await;
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -47,6 +47,7 @@
     };
     let mut front = tokio::spawn(frontend::accept(listener, door));
     let core = core::Core::new(config, clock, events, ready, Arc::clone(&counters));
+    let core = core.map_err(io::Error::other)?;
     let mut core = tokio::spawn(core.run(mailbox));
     let ended = loop {
         tokio::select! {
