Move PostgreSQL's protocol into a package of its own

Need: stand-in ledger hosts and clients will speak it too, and must not need the whole proxy for that.

--- a/src/pgwire/backend.rs
+++ b/crates/pgwire/src/backend.rs
@@ -9,7 +9,7 @@
 
 /// The longest message that is taken: a value of 64 KiB, which comes as bytes. With some 480 connections on
 /// either side, answers and statements at their longest still fit into the memory of a proxy.
-pub(crate) const MOST_ANSWER: usize = 72 * 1024;
+pub const MOST_ANSWER: usize = 72 * 1024;
 
 /// A message of a ledger host.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/pgwire/frontend.rs
+++ b/crates/pgwire/src/frontend.rs
@@ -8,7 +8,7 @@
 /// The longest startup packet that is taken, as PostgreSQL does.
 const MOST_STARTUP: usize = 10_000;
 /// Values are 64 KiB at most; as hexadecimal digits with statement and comment they are twice that and some.
-pub(crate) const MOST_STATEMENT: usize = 136 * 1024;
+pub const MOST_STATEMENT: usize = 136 * 1024;
 
 const SSL: u32 = 80_877_103;
 const GSS: u32 = 80_877_104;
--- a/src/pgwire/mod.rs
+++ b/crates/pgwire/src/lib.rs
@@ -5,11 +5,9 @@
 mod frontend;
 mod statement;
 
-pub(crate) use backend::MOST_ANSWER;
-pub use backend::{BackendMessage, ErrorFields};
+pub use backend::{BackendMessage, ErrorFields, MOST_ANSWER};
 pub use encode::*;
-pub(crate) use frontend::MOST_STATEMENT;
-pub use frontend::{FrontendMessage, Startup};
+pub use frontend::{FrontendMessage, Startup, MOST_STATEMENT};
 pub use statement::{Comment, KvStatement, StatementError};
 
 use winnow::binary::be_u32;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,7 +30,7 @@
 pub mod counters;
 mod interface;
 pub mod net;
-pub mod pgwire;
+pub use wheelpier_pgwire as pgwire;
 mod policy;
 pub mod settings;
 
