--- a/crates/pgwire/src/encode.rs
+++ b/crates/pgwire/src/encode.rs
@@ -54,12 +54,7 @@
         ("integer_datetimes", "on"),
         ("DateStyle", "ISO, MDY"),
     ];
-    for (name, value) in parameters {
-        message(out, b'S', |out| {
-            text(out, name);
-            text(out, value);
-        });
-    }
+    parameters.iter().for_each(|(name, value)| parameter(out, name, value));
     message(out, b'K', |out| {
         out.put_u32(key.0);
         out.put_u32(key.1);
@@ -72,6 +67,35 @@
     message(out, b'Z', |out| out.put_u8(b'I'));
 }
 
+/// A row of one column of bytes: its description, itself, and the statement's end.
+pub fn row(out: &mut BytesMut, name: &str, value: &[u8]) {
+    message(out, b'T', |out| {
+        out.put_u16(1);
+        text(out, name);
+        // No table, no column of one; bytea of any length, in binary.
+        out.put_u32(0);
+        out.put_u16(0);
+        out.put_u32(17);
+        out.put_i16(-1);
+        out.put_i32(-1);
+        out.put_u16(1);
+    });
+    message(out, b'D', |out| {
+        out.put_u16(1);
+        out.put_u32(value.len() as u32);
+        out.put_slice(value);
+    });
+    command_complete(out, "SELECT 1");
+}
+
+/// A parameter and its value.
+pub fn parameter(out: &mut BytesMut, name: &str, value: &str) {
+    message(out, b'S', |out| {
+        text(out, name);
+        text(out, value);
+    });
+}
+
 /// The answer to an empty query.
 pub fn empty_query(out: &mut BytesMut) {
     message(out, b'I', |_| {});
--- a/crates/pgwire/src/lib.rs
+++ b/crates/pgwire/src/lib.rs
@@ -1,4 +1,6 @@
 //! PostgreSQL's protocol 3 as bytes: parsers and encoders for both sides, no sockets.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 mod backend;
 mod encode;
--- a/crates/pgwire/src/statement.rs
+++ b/crates/pgwire/src/statement.rs
@@ -3,7 +3,7 @@
 //! or close on it whatever else waits there.
 
 use std::ops::Range;
-use winnow::combinator::{alt, delimited, eof, separated, separated_pair, terminated};
+use winnow::combinator::{alt, delimited, eof, separated, separated_pair};
 use winnow::error::ContextError;
 use winnow::stream::LocatingSlice;
 use winnow::token::{take_till, take_while};
@@ -16,6 +16,8 @@
     pub write: bool,
     /// The quoted key.
     pub key: &'a str,
+    /// Where a write's value stands, in hexadecimal digits.
+    pub value_at: Option<Range<usize>>,
     /// What its comment says.
     pub comment: Comment,
 }
@@ -72,9 +74,9 @@
     pub fn parse(text: &'a str) -> Result<Self, StatementError> {
         let statement = (alt((read, write)), pairs, eof);
         let mut statement = statement.map(|(start, pairs, _)| (start, pairs));
-        let ((write, key), pairs) =
+        let ((key, value_at), pairs) =
             statement.parse(LocatingSlice::new(text)).map_err(|_| StatementError::Form)?;
-        Ok(Self { write, key, comment: Comment::of(&pairs)? })
+        Ok(Self { write: value_at.is_some(), key, value_at, comment: Comment::of(&pairs)? })
     }
 }
 
@@ -126,15 +128,16 @@
     (text.len() <= MOST_DIGITS && digits(whole) && digits(part)).then(|| text.parse().ok()).flatten()
 }
 
-fn read<'a>(input: &mut Text<'a>) -> Read<(bool, &'a str)> {
-    delimited("SELECT content FROM kv WHERE name = ", quoted, ' ').map(|key| (false, key)).parse_next(input)
+fn read<'a>(input: &mut Text<'a>) -> Read<(&'a str, Option<Range<usize>>)> {
+    delimited("SELECT content FROM kv WHERE name = ", quoted, ' ').map(|key| (key, None)).parse_next(input)
 }
 
-fn write<'a>(input: &mut Text<'a>) -> Read<(bool, &'a str)> {
+fn write<'a>(input: &mut Text<'a>) -> Read<(&'a str, Option<Range<usize>>)> {
     let key = delimited("INSERT INTO kv (name, content) VALUES (", quoted, ", ");
-    let hex = take_while(0.., |c: char| c.is_ascii_hexdigit()).verify(|hex: &str| hex.len() % 2 == 0);
-    let value = delimited("'\\x", hex, "') RETURNING content ");
-    terminated(key, value).map(|key| (true, key)).parse_next(input)
+    let hex =
+        take_while(0.., |c: char| c.is_ascii_hexdigit()).verify(|hex: &str| hex.len().is_multiple_of(2));
+    let value = delimited("'\\x", hex.span(), "') RETURNING content ");
+    (key, value.map(Some)).parse_next(input)
 }
 
 fn quoted<'a>(input: &mut Text<'a>) -> Read<&'a str> {
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,136 @@
+//! The command line: what a person types, and what the exit status says.
+
+use crate::config::{Config, ConfigError, Operator, OperatorError};
+use crate::net::{self, Control};
+use clap::{Parser, Subcommand, ValueEnum};
+use std::io;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc;
+use tracing_subscriber::filter::LevelFilter;
+
+/// A proxy that spreads reads over database replicas and lets each session see its own writes.
+#[derive(Debug, Parser)]
+#[command(name = "wheelpier", version, max_term_width = 100)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Option<Command>,
+    /// The operator's own file (YAML): further listeners, and what ledger hosts speak.
+    #[arg(long, env = "GW_OPERATOR", value_name = "FILE", global = true)]
+    operator: Option<PathBuf>,
+    /// The form of the log, which goes to standard error.
+    #[arg(long, env = "GW_LOG", value_enum, default_value = "text", global = true)]
+    log: LogForm,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Subcommand)]
+enum Command {
+    /// Serves until SIGTERM, as without a word. Exit status 1 when the configuration is at fault.
+    Serve,
+    /// Reads the configuration and says what it comes to. Exit status 0 if the proxy would start, else 1.
+    Check,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+enum LogForm {
+    /// Lines for people.
+    Text,
+    /// A JSON object a line.
+    Json,
+}
+
+/// Why the program ends other than well.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    /// The configuration is at fault.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    /// The operator's file is at fault.
+    #[error(transparent)]
+    Operator(#[from] OperatorError),
+    /// A socket or a signal could not be had.
+    #[error("{0}")]
+    Io(#[from] io::Error),
+}
+
+/// Runs the program as its arguments and its environment say.
+pub fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    log(arguments.log);
+    match run(&arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("wheelpier: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn log(form: LogForm) {
+    let lines = tracing_subscriber::fmt()
+        .with_writer(io::stderr)
+        .with_ansi(false)
+        .with_target(false)
+        .with_max_level(LevelFilter::INFO);
+    match form {
+        LogForm::Text => lines.init(),
+        LogForm::Json => lines.json().init(),
+    }
+}
+
+fn run(arguments: &Arguments) -> Result<(), RunError> {
+    let operator = arguments.operator.as_deref().map(Operator::from_file).transpose()?.unwrap_or_default();
+    let config = Config::from_env(operator)?;
+    match arguments.command.unwrap_or(Command::Serve) {
+        Command::Serve => {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+            Ok(runtime.block_on(serve(config))?)
+        }
+        Command::Check => {
+            check(&config);
+            Ok(())
+        }
+    }
+}
+
+async fn serve(config: Config) -> io::Result<()> {
+    // Before all else: without a handler the signals would end the program.
+    let control = signals()?;
+    let (name, proxy) = (config.name.clone(), net::Proxy::bind(config).await?);
+    for (protocol, address) in proxy.addresses()? {
+        tracing::info!("{name} listens on {address} ({protocol})");
+    }
+    proxy.serve(control).await
+}
+
+/// The signals as what they mean.
+fn signals() -> io::Result<mpsc::Receiver<Control>> {
+    let (sender, control) = mpsc::channel(4);
+    let meanings = [
+        (SignalKind::hangup(), Control::Reread),
+        (SignalKind::user_defined1(), Control::Report),
+        (SignalKind::terminate(), Control::Drain),
+    ];
+    for (kind, meaning) in meanings {
+        let (mut signal, sender) = (signal(kind)?, sender.clone());
+        tokio::spawn(
+            async move { while signal.recv().await.is_some() && sender.send(meaning).await.is_ok() {} },
+        );
+    }
+    Ok(control)
+}
+
+fn check(config: &Config) {
+    println!("name         {}", config.name);
+    for (protocol, address) in config.listeners() {
+        println!("listener     {address} ({protocol})");
+    }
+    println!("discovery    {}", config.discovery);
+    println!("connections  {} of clients, {} to ledger hosts", config.limits.clients, config.limits.upstream);
+    println!("requests     {} held at most, {} attempts each", config.most_held, config.max_attempts);
+    for class in &config.names.classes {
+        let keyed = if class.keyed { ", keyed" } else { "" };
+        println!("class        {}: {}{keyed}", class.name, if class.write { "writes" } else { "reads" });
+    }
+}
--- a/src/config.rs
+++ b/src/config/mod.rs
@@ -1,8 +1,13 @@
-//! The only place that reads the environment and the configuration file.
+//! The only place that reads the environment, the configuration file and the operator's.
+
+mod operator;
+
+pub use operator::{HostProtocols, Operator, OperatorError};
 
 use crate::interface::{Class, Freshness, HostState, Repeat, Settings};
-use crate::net::discovery::{Listing, RawListing};
+use crate::listing::{Listing, RawListing};
 use crate::pgwire;
+use crate::protocol::Protocol;
 use crate::settings::{self, Reading};
 use serde::Deserialize;
 use std::collections::HashMap;
@@ -62,14 +67,18 @@
     pub file: Option<PathBuf>,
     /// The proxy's own name.
     pub name: String,
-    /// Where clients connect.
+    /// Where clients of PostgreSQL's protocol connect.
     pub listen: SocketAddr,
+    /// What the operator's own file adds.
+    pub operator: Operator,
     /// Where discovery answers.
     pub discovery: SocketAddr,
     /// Seed of the module's random numbers.
     pub seed: u64,
     /// Shares of the descriptors.
     pub limits: Limits,
+    /// Memory that messages may take, in bytes; none if it is not bounded.
+    pub memory: Option<f64>,
     /// The ledger hosts as last known.
     pub known: Option<Listing>,
     /// The module's settings.
@@ -151,17 +160,35 @@
 const LEAST_SOCKETS: usize = 64;
 
 impl Config {
-    /// Reads the environment and the file that it names.
+    /// Reads the environment and the file that it names, with what the operator's own file adds.
     ///
     /// # Errors
     /// When something is missing or not sensible.
-    pub fn from_env() -> Result<Self, ConfigError> {
+    pub fn from_env(operator: Operator) -> Result<Self, ConfigError> {
         let vars = ["GW_CONFIG", "GW_NAME", "GW_LISTEN", "GW_DISCOVERY"];
         let env: HashMap<&str, String> =
             vars.iter().filter_map(|name| Some((*name, std::env::var(name).ok()?))).collect();
         let path = env.get("GW_CONFIG").ok_or_else(|| wrong("GW_CONFIG", "is not set"))?;
         let text = std::fs::read_to_string(path).map_err(|e| wrong("GW_CONFIG", e))?;
-        Ok(Self { file: Some(path.into()), ..Self::read(&text, |name| env.get(name).cloned())? })
+        let read = Self::read(&text, |name| env.get(name).cloned())?;
+        Ok(Self { file: Some(path.into()), ..read }.with_operator(operator))
+    }
+
+    /// Takes the operator's own file in.
+    pub fn with_operator(mut self, operator: Operator) -> Self {
+        let longest = operator.listeners.iter().map(|l| l.protocol.longest_statement()).max().unwrap_or(0);
+        if let Some(memory) = self.memory.filter(|_| longest > pgwire::MOST_STATEMENT) {
+            let held = (memory * STATEMENTS / longest as f64) as usize;
+            self.limits.clients = self.limits.clients.min(held).max(LEAST_CONNECTIONS);
+        }
+        self.operator = operator;
+        self
+    }
+
+    /// Where clients connect, and what is spoken there.
+    pub fn listeners(&self) -> Vec<(Protocol, SocketAddr)> {
+        let more = self.operator.listeners.iter().map(|l| (l.protocol, l.address));
+        std::iter::once((Protocol::Postgres, self.listen)).chain(more).collect()
     }
 
     /// Reads the file once more, while the proxy runs: where discovery answers now. The environment told that
@@ -219,9 +246,9 @@
         }
         let connections = sockets - RESERVED;
         // Descriptors and memory bound the connections, whichever is shorter.
-        let memory = file.limits.memory_mb.unwrap_or(f64::INFINITY) * MEMORY_SHARE * f64::from(1 << 20);
+        let memory = file.limits.memory_mb.map(|mb| mb * MEMORY_SHARE * f64::from(1 << 20));
         let within = |share: f64, part: f64, bytes: usize| {
-            let held = (memory * part / bytes as f64) as usize;
+            let held = (memory.unwrap_or(f64::INFINITY) * part / bytes as f64) as usize;
             ((connections as f64 * share) as usize).min(held).max(LEAST_CONNECTIONS)
         };
         let upstream = within(UPSTREAM_SHARE, 1.0 - STATEMENTS, pgwire::MOST_ANSWER);
@@ -245,6 +272,8 @@
             discovery,
             seed,
             limits: Limits { clients, upstream },
+            memory,
+            operator: Operator::default(),
             known: known.filter(|list| list.entries.iter().any(|e| e.state != HostState::Deleted)),
             settings,
             reading,
--- /dev/null
+++ b/src/config/operator.rs
@@ -0,0 +1,171 @@
+//! The operator's own file, in YAML: what the platform does not tell a proxy. Without it the program is what it
+//! is without this module.
+
+use crate::protocol::Protocol;
+use serde::Deserialize;
+use serde_saphyr::{Location, Spanned};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// What the operator's file sets.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Operator {
+    /// Further ports.
+    pub listeners: Vec<Listener>,
+    /// What ledger hosts speak.
+    pub hosts: HostProtocols,
+}
+
+/// A port for clients.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Listener {
+    /// What is spoken there.
+    pub protocol: Protocol,
+    /// Where it is.
+    pub address: SocketAddr,
+}
+
+/// Which protocol the ledger hosts of a discovery type speak.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HostProtocols {
+    default: Protocol,
+    types: BTreeMap<String, Protocol>,
+}
+
+impl HostProtocols {
+    /// What hosts of this type speak.
+    pub fn protocol(&self, kind: &str) -> Protocol {
+        self.types.get(kind).copied().unwrap_or(self.default)
+    }
+
+    /// All that some host may speak.
+    fn spoken(&self) -> impl Iterator<Item = Protocol> + '_ {
+        std::iter::once(self.default).chain(self.types.values().copied())
+    }
+}
+
+/// What is wrong with the operator's file.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{file}{}: {key}: {problem}", line.map(|line| format!(":{line}")).unwrap_or_default())]
+pub struct OperatorError {
+    /// The file.
+    pub file: String,
+    /// The line, where one is at fault.
+    pub line: Option<u64>,
+    /// The faulty key.
+    pub key: String,
+    /// What is wrong with it, and what is allowed.
+    pub problem: String,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+struct File {
+    listeners: Vec<RawListener>,
+    hosts: RawHosts,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawListener {
+    protocol: Spanned<String>,
+    address: Spanned<String>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+struct RawHosts {
+    default: Option<Spanned<String>>,
+    types: BTreeMap<String, Spanned<String>>,
+}
+
+/// The protocols by the names that the file has for them.
+const PROTOCOLS: [Protocol; 2] = [Protocol::Postgres, Protocol::Tds];
+
+struct Fault<'a> {
+    file: &'a str,
+}
+
+impl Fault<'_> {
+    fn at(&self, location: Location, key: &str, problem: String) -> OperatorError {
+        let line = Some(location.line()).filter(|line| *line > 0);
+        OperatorError { file: self.file.to_owned(), line, key: key.to_owned(), problem }
+    }
+
+    fn protocol(&self, name: &Spanned<String>, key: &str) -> Result<Protocol, OperatorError> {
+        let found = PROTOCOLS.into_iter().find(|protocol| protocol.to_string() == name.value);
+        found.ok_or_else(|| {
+            let problem = format!("`{}` is no protocol; allowed are postgres and tds", name.value);
+            self.at(name.referenced, key, problem)
+        })
+    }
+}
+
+impl Operator {
+    /// Reads the file.
+    ///
+    /// # Errors
+    /// When it cannot be read or is not sensible; the error names line and key.
+    pub fn from_file(path: &Path) -> Result<Self, OperatorError> {
+        let file = path.display().to_string();
+        match std::fs::read_to_string(path) {
+            Ok(text) => Self::read(&text, &file),
+            Err(e) => Err(OperatorError { file, line: None, key: "file".to_owned(), problem: e.to_string() }),
+        }
+    }
+
+    /// Reads the text of a file of that name.
+    ///
+    /// # Errors
+    /// When it is not sensible; the error names line and key.
+    pub fn read(text: &str, file: &str) -> Result<Self, OperatorError> {
+        let fault = Fault { file };
+        let raw: File =
+            match text.lines().all(|line| line.trim_start().starts_with('#') || line.trim().is_empty()) {
+                true => File::default(),
+                false => serde_saphyr::from_str(text).map_err(|e| {
+                    let problem = e.to_string();
+                    let problem = problem.lines().next().unwrap_or_default().to_owned();
+                    fault.at(e.location().unwrap_or(Location::UNKNOWN), "file", problem)
+                })?,
+            };
+        let hosts = hosts(raw.hosts, &fault)?;
+        let spoken: Vec<Protocol> = hosts.spoken().collect();
+        let mut listeners = Vec::with_capacity(raw.listeners.len());
+        let mut taken = BTreeSet::new();
+        for (n, raw) in raw.listeners.iter().enumerate() {
+            let key = |part: &str| format!("listeners[{n}].{part}");
+            let protocol = fault.protocol(&raw.protocol, &key("protocol"))?;
+            if !spoken.contains(&protocol) {
+                let problem = format!(
+                    "no ledger host speaks {protocol}; set hosts.default or a type under hosts.types to it"
+                );
+                return Err(fault.at(raw.protocol.referenced, &key("protocol"), problem));
+            }
+            let address: SocketAddr = raw.address.value.parse().map_err(|_| {
+                let problem =
+                    format!("`{}` is no address with a port, like 127.0.0.1:1433", raw.address.value);
+                fault.at(raw.address.referenced, &key("address"), problem)
+            })?;
+            if address.port() != 0 && !taken.insert(address) {
+                let problem = format!("{address} stands twice; each listener has an address of its own");
+                return Err(fault.at(raw.address.referenced, &key("address"), problem));
+            }
+            listeners.push(Listener { protocol, address });
+        }
+        Ok(Self { listeners, hosts })
+    }
+}
+
+fn hosts(raw: RawHosts, fault: &Fault<'_>) -> Result<HostProtocols, OperatorError> {
+    let default = match &raw.default {
+        Some(name) => fault.protocol(name, "hosts.default")?,
+        None => Protocol::default(),
+    };
+    let mut types = BTreeMap::new();
+    for (kind, name) in &raw.types {
+        types.insert(kind.clone(), fault.protocol(name, &format!("hosts.types.{kind}"))?);
+    }
+    Ok(HostProtocols { default, types })
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,7 @@
 //! wheelpier is a proxy that spreads reads over the replicas of a database.
 //!
-//! [`run_from_env`] runs it as its environment says; [`net::run`] takes a [`config::Config`] that a program
-//! has made by itself.
+//! [`cli::main`] runs it as its arguments and its environment say; [`net::Proxy`] takes a [`config::Config`]
+//! that a program has made by itself.
 //!
 //! All decisions stand apart from the sockets. A [`Router`] is a state machine without I/O: it is told what
 //! happened and when, and answers with the [`Action`]s to carry out. Its ordinary path is the session token
@@ -26,34 +26,16 @@
 #![warn(missing_docs)]
 
 mod check;
+pub mod cli;
 pub mod config;
 pub mod counters;
 mod interface;
+pub mod listing;
 pub mod net;
 pub use wheelpier_pgwire as pgwire;
 mod policy;
+pub mod protocol;
 pub mod settings;
 
 pub use interface::*;
 pub use policy::Router;
-
-/// Why the proxy could not serve.
-#[derive(Debug, thiserror::Error)]
-pub enum RunError {
-    /// The configuration is at fault.
-    #[error(transparent)]
-    Config(#[from] config::ConfigError),
-    /// A socket or a signal could not be had.
-    #[error("{0}")]
-    Io(#[from] std::io::Error),
-}
-
-/// Runs the proxy as its environment says, on one thread, until SIGTERM.
-///
-/// # Errors
-/// When the configuration is at fault or the address cannot be had.
-pub fn run_from_env() -> Result<(), RunError> {
-    let config = config::Config::from_env()?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    Ok(runtime.block_on(net::run(config))?)
-}
--- /dev/null
+++ b/src/listing.rs
@@ -0,0 +1,119 @@
+//! The list of ledger hosts: what a version of it holds, and the form in which discovery and the configuration
+//! write it.
+
+use crate::interface::{HostState, Time};
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// A version of the list, or what has changed since one.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listing {
+    /// Its version.
+    pub index: u64,
+    /// Whether it is the whole list.
+    pub whole: bool,
+    /// The hosts.
+    pub entries: Vec<Listed>,
+}
+
+/// One host of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    /// Its name, the same at every proxy.
+    pub name: String,
+    /// Where it listens for this proxy.
+    pub address: SocketAddr,
+    /// Its zone, by number.
+    pub zone: u32,
+    /// Its kind of machine, as discovery calls it.
+    pub kind: String,
+    /// The group whose data it holds.
+    pub group: u32,
+    /// Its state.
+    pub state: HostState,
+    /// Its weight.
+    pub weight: f64,
+    /// When it last started, if that was lately.
+    pub since: Option<Time>,
+}
+
+/// The list as discovery writes it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct RawListing {
+    index: u64,
+    #[serde(default)]
+    snapshot: bool,
+    #[serde(default)]
+    endpoints: Vec<RawEntry>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct RawEntry {
+    name: String,
+    address: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default, rename = "type")]
+    kind: String,
+    #[serde(default)]
+    group: u32,
+    status: String,
+    #[serde(default = "one")]
+    weight: f64,
+    #[serde(default)]
+    since_ms: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// An entry that cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("host `{name}`: {problem}")]
+pub struct EntryError {
+    /// The host's name.
+    pub name: String,
+    /// What is wrong with it.
+    pub problem: String,
+}
+
+impl RawListing {
+    /// Turns names into numbers. An entry without a sensible address or state is left out, and told.
+    pub fn check(self, zones: &[String]) -> (Listing, Vec<EntryError>) {
+        let (mut entries, mut problems) = (Vec::new(), Vec::new());
+        for raw in self.endpoints {
+            match raw.check(zones) {
+                Ok(entry) => entries.push(entry),
+                Err(problem) => problems.push(problem),
+            }
+        }
+        (Listing { index: self.index, whole: self.snapshot, entries }, problems)
+    }
+}
+
+impl RawEntry {
+    fn check(self, zones: &[String]) -> Result<Listed, EntryError> {
+        let state = match self.status.as_str() {
+            "up" => Ok(HostState::Running),
+            "draining" => Ok(HostState::Stopping),
+            "removed" => Ok(HostState::Deleted),
+            other => Err(format!("`{other}` is no known status")),
+        };
+        let address = self.address.parse().map_err(|_| format!("`{}` is no address", self.address));
+        match (state, address) {
+            (Ok(state), Ok(address)) => Ok(Listed {
+                // A zone that the settings do not name is none of ours.
+                zone: zones.iter().position(|z| *z == self.zone).unwrap_or(zones.len()) as u32,
+                since: Some(Time((self.since_ms * 1e3) as i64)).filter(|at| at.0 > 0),
+                name: self.name,
+                address,
+                kind: self.kind,
+                group: self.group,
+                state,
+                weight: self.weight,
+            }),
+            (Err(problem), _) | (_, Err(problem)) => Err(EntryError { name: self.name, problem }),
+        }
+    }
+}
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -1,15 +1,15 @@
 //! The module's actor: it alone owns the router, the request table and the router's timers.
 
 use super::clock::Clock;
-use super::discovery::{Listed, Listing};
-use super::frontend::{Answer, Mail, Request, Statement};
-use super::upstream::{self, AttemptEnd, Command, Peer, Probe};
+use super::messages::{Answer, Arrival, AttemptEnd, Event, Mail, Probe, Request, Statement};
+use super::upstream::{self, Command, Peer};
 use crate::config::Config;
 use crate::counters::{Counters, Ended};
 use crate::interface::{
     Action, Event as Told, Freshness, HostEntry, HostId, HostState, ListKind, Outcome, Reply, RequestId,
     SettingsError, Time,
 };
+use crate::listing::{Listed, Listing};
 use crate::policy::Router;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::future::poll_fn;
@@ -27,29 +27,6 @@
 /// A host that the list does not name any more is remembered so long: most come back sooner, if at all.
 const FORGOTTEN: Duration = Duration::from_secs(30);
 
-/// What the module's actor is told.
-#[derive(Debug)]
-pub(crate) enum Event {
-    /// A client asks.
-    Arrival(Box<Arrival>),
-    /// A client has left before its answer.
-    ClientLeft(RequestId),
-    /// An attempt has ended.
-    Ended(Box<AttemptEnd>),
-    /// A probe has ended.
-    Probed(Probe),
-    /// The list has changed.
-    List(Listing),
-}
-
-#[derive(Debug)]
-pub(crate) struct Arrival {
-    pub id: RequestId,
-    pub request: Request,
-    pub arrived: Instant,
-    pub client: mpsc::Sender<Mail>,
-}
-
 /// A request that has no answer yet, or attempts still out.
 struct Held {
     /// What its client calls it.
@@ -248,7 +225,7 @@
         if let Some(held) = self.table.get_mut(&id) {
             held.last_call = None;
             let Held { sent, out, .. } = held;
-            eprintln!("request {}: no answer by its deadline; sent to {sent:?}, {out} out", id.0);
+            tracing::warn!("request {}: no answer by its deadline; sent to {sent:?}, {out} out", id.0);
         }
         if let Some(client) = self.close(id, Ended::Failed) {
             mail(&client, id, Answer::Failed);
@@ -299,7 +276,9 @@
             if let Some(member) = self.members.get_mut(&host) {
                 member.gone = (listed.state == HostState::Deleted).then(|| member.gone.unwrap_or(now));
                 // A host's actor hears of it before any send that the module decides on from now on.
-                member.peer.tell(Command::Listed { address: listed.address, state: listed.state }).await;
+                let protocol = self.config.operator.hosts.protocol(&listed.kind);
+                let Listed { address, state, .. } = listed;
+                member.peer.tell(Command::Listed { address, protocol, state }).await;
             }
             let Listed { group, zone, weight, state, since, .. } = listed;
             entries.push(HostEntry { host, group, zone, weight, leader: false, state, online_since: since });
@@ -341,7 +320,8 @@
         let host = HostId(self.hosts);
         self.hosts += 1;
         self.numbers.insert(listed.name.clone(), host);
-        let peer = Peer::start(host, listed.address, self.pool.clone(), self.events.clone());
+        let protocol = self.config.operator.hosts.protocol(&listed.kind);
+        let peer = Peer::start(host, listed.address, protocol, self.pool.clone(), self.events.clone());
         self.members.insert(host, Member { peer, out: 0, gone: None });
         host
     }
@@ -389,7 +369,7 @@
             Action::Timer { at, token } => {
                 self.timers.insert_at(Due::Ring(token), self.clock.moment(at));
             }
-            Action::Log(line) => eprintln!("{line}"),
+            Action::Log(line) => tracing::info!("{line}"),
             // The list is pushed here: the watch is always on.
             Action::Watch(_) | Action::FetchList => {}
         }
@@ -399,7 +379,7 @@
         let now = Instant::now();
         let limit = self.config.max_attempts;
         let Some(held) = self.table.get_mut(&id) else {
-            return eprintln!("request {}: sent after its end", id.0);
+            return tracing::error!("request {}: sent after its end", id.0);
         };
         let attempt = held.sent.len() as u32;
         held.sent.push(host);
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,11 +1,10 @@
-//! The list of ledger hosts: its form, and the actor that follows it.
+//! The actor that follows the list of ledger hosts.
 
-use crate::interface::{HostState, Time};
-use crate::net::core::Event;
+use super::messages::Event;
+use crate::listing::RawListing;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -21,71 +20,10 @@
 /// A longer line is no list of hosts.
 const MOST_LINE: usize = 4 << 20;
 
-/// A version of the list, or what has changed since one.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Listing {
-    /// Its version.
-    pub index: u64,
-    /// Whether it is the whole list.
-    pub whole: bool,
-    /// The hosts.
-    pub entries: Vec<Listed>,
-}
-
-/// One host of the list.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Listed {
-    /// Its name, the same at every proxy.
-    pub name: String,
-    /// Where it listens for this proxy.
-    pub address: SocketAddr,
-    /// Its zone, by number.
-    pub zone: u32,
-    /// The group whose data it holds.
-    pub group: u32,
-    /// Its state.
-    pub state: HostState,
-    /// Its weight.
-    pub weight: f64,
-    /// When it last started, if that was lately.
-    pub since: Option<Time>,
-}
-
-/// The list as discovery writes it.
-#[derive(Clone, Debug, Deserialize)]
-pub struct RawListing {
-    index: u64,
-    #[serde(default)]
-    snapshot: bool,
-    #[serde(default)]
-    endpoints: Vec<RawEntry>,
-}
-
-#[derive(Clone, Debug, Deserialize)]
-struct RawEntry {
-    name: String,
-    address: String,
-    #[serde(default)]
-    zone: String,
-    #[serde(default)]
-    group: u32,
-    status: String,
-    #[serde(default = "one")]
-    weight: f64,
-    #[serde(default)]
-    since_ms: f64,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
 /// What is wrong with a list or a call.
 #[derive(Debug, thiserror::Error)]
 #[allow(missing_docs)]
 pub enum ListError {
-    #[error("host `{name}`: {problem}")]
-    Entry { name: String, problem: String },
     #[error("not a list: {0}")]
     Json(#[from] serde_json::Error),
     #[error("{0}")]
@@ -102,42 +40,6 @@
     Ended,
 }
 
-impl RawListing {
-    /// Turns names into numbers. An entry without a sensible address or state is left out, and told.
-    pub fn check(self, zones: &[String]) -> (Listing, Vec<ListError>) {
-        let entry = |raw: RawEntry| {
-            let state = match raw.status.as_str() {
-                "up" => Ok(HostState::Running),
-                "draining" => Ok(HostState::Stopping),
-                "removed" => Ok(HostState::Deleted),
-                other => Err(format!("`{other}` is no known status")),
-            };
-            let address = raw.address.parse().map_err(|_| format!("`{}` is no address", raw.address));
-            match (state, address) {
-                (Ok(state), Ok(address)) => Ok(Listed {
-                    // A zone that the settings do not name is none of ours.
-                    zone: zones.iter().position(|z| *z == raw.zone).unwrap_or(zones.len()) as u32,
-                    since: Some(Time((raw.since_ms * 1e3) as i64)).filter(|at| at.0 > 0),
-                    name: raw.name,
-                    address,
-                    group: raw.group,
-                    state,
-                    weight: raw.weight,
-                }),
-                (Err(problem), _) | (_, Err(problem)) => Err(ListError::Entry { name: raw.name, problem }),
-            }
-        };
-        let (mut entries, mut problems) = (Vec::new(), Vec::new());
-        for raw in self.endpoints {
-            match entry(raw) {
-                Ok(entry) => entries.push(entry),
-                Err(problem) => problems.push(problem),
-            }
-        }
-        (Listing { index: self.index, whole: self.snapshot, entries }, problems)
-    }
-}
-
 /// Follows the list for ever, from a version on, at whatever address holds at the time; ends when nobody
 /// listens any more.
 pub(crate) async fn follow(
@@ -152,7 +54,7 @@
         let at = *address.borrow_and_update();
         let attempt = async {
             let Err(problem) = watch(at, &zones, &mut since, &events).await else { return false };
-            eprintln!("discovery: {problem}");
+            tracing::warn!("discovery: {problem}");
             // A watch that told something was a good one.
             wait = if since != before { BACK_OFF.0 } else { (wait * 2).min(BACK_OFF.1) };
             sleep(wait).await;
@@ -204,7 +106,7 @@
             }
             let (listing, problems) = serde_json::from_slice::<RawListing>(&line)?.check(zones);
             // One bad entry must not cost the others: the watch would be resumed before it again and again.
-            problems.iter().for_each(|problem| eprintln!("discovery: {problem}"));
+            problems.iter().for_each(|problem| tracing::warn!("discovery: {problem}"));
             // A watch that is dropped here, for another address, has not told this: the version stays behind.
             let Ok(room) = events.reserve().await else { return Ok(()) };
             *since = Some(listing.index);
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -1,21 +1,27 @@
-//! Requests and answers, whatever protocol they come in by; and the door through which clients come.
+//! The door through which clients come, whatever protocol they speak; an actor for each of them.
 
+mod client;
+mod conversation;
+mod fault;
 mod postgres;
+mod request;
+mod tds;
 
 use super::clock::Clock;
-use super::core::Event;
+use super::messages::Event;
 use crate::config::Names;
 use crate::counters::Counters;
-use crate::interface::{RequestId, SessionId, Time};
-use bytes::Bytes;
+use crate::interface::{RequestId, Time};
+use crate::protocol::Protocol;
 use std::collections::VecDeque;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
-use std::ops::Range;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Weak};
+use std::task::Poll;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::{yield_now, JoinSet};
 use tokio::time::{sleep, sleep_until, Instant};
@@ -46,69 +52,6 @@
 /// When no descriptor is to be had, accepting rests this long.
 const ACCEPT_REST: Duration = Duration::from_millis(10);
 
-/// A statement as the client wrote it, and where in it the remaining time stands.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Statement {
-    /// The whole text.
-    pub text: Bytes,
-    /// The place of the client's wait in milliseconds.
-    pub wait_at: Range<usize>,
-}
-
-impl Statement {
-    /// The statement with another wait, all else unchanged.
-    pub fn with_wait(&self, wait: Duration) -> Vec<u8> {
-        let wait = wait.as_millis().max(1).to_string();
-        [&self.text[..self.wait_at.start], wait.as_bytes(), &self.text[self.wait_at.end..]].concat()
-    }
-}
-
-/// What a client asks.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Request {
-    /// The class, by number.
-    pub class: usize,
-    /// The tenant, by number.
-    pub tenant: usize,
-    /// The group that holds the data.
-    pub group: u32,
-    /// The session, if the statement names one.
-    pub session: Option<SessionId>,
-    /// Whether the client marks it as a retry.
-    pub again: bool,
-    /// How long ago the session's last write was, where the client tells.
-    pub since_write: Option<Time>,
-    /// How long the client waits.
-    pub wait: Duration,
-    /// The client's own name for it: none that is open may bear the same.
-    pub name: String,
-    /// What goes to the ledger host.
-    pub statement: Statement,
-}
-
-/// The final answer to a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Answer {
-    /// A ledger host's value, as it wrote it.
-    Served(Bytes),
-    /// Turned away: trying again is harmless, after that time if there is one.
-    Refused {
-        /// How long the client should stay away.
-        retry_after: Option<Time>,
-    },
-    /// No value could be had; it may have had an effect.
-    Failed,
-    /// The request itself makes no sense.
-    Invalid(String),
-}
-
-/// What a client's actor is sent.
-#[derive(Debug)]
-pub(crate) enum Mail {
-    /// The answer to its request.
-    Answer(RequestId, Answer),
-}
-
 /// What every client's actor needs.
 #[derive(Clone, Debug)]
 pub(crate) struct Door {
@@ -144,16 +87,55 @@
     }
 }
 
-/// Listens on the address, and on no other.
-///
-/// # Errors
-/// When it cannot be had.
-pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    TcpListener::bind(address).await
+/// The ports at which clients come, each with its protocol.
+#[derive(Debug)]
+pub(crate) struct Listeners {
+    all: Vec<(Protocol, TcpListener)>,
+    /// Which is asked first: none keeps the others waiting.
+    first: usize,
+}
+
+impl Listeners {
+    /// Listens on these addresses, and on no other.
+    ///
+    /// # Errors
+    /// When one cannot be had; the message names it.
+    pub async fn bind(addresses: &[(Protocol, SocketAddr)]) -> io::Result<Self> {
+        let mut all = Vec::with_capacity(addresses.len());
+        for (protocol, address) in addresses {
+            let listener = TcpListener::bind(address).await;
+            let listener = listener.map_err(|e| io::Error::new(e.kind(), format!("{address}: {e}")))?;
+            all.push((*protocol, listener));
+        }
+        Ok(Self { all, first: 0 })
+    }
+
+    /// Where clients connect, and what is spoken there.
+    ///
+    /// # Errors
+    /// When the system does not tell.
+    pub fn addresses(&self) -> io::Result<Vec<(Protocol, SocketAddr)>> {
+        self.all.iter().map(|(protocol, listener)| Ok((*protocol, listener.local_addr()?))).collect()
+    }
+
+    async fn accept(&mut self) -> io::Result<(Protocol, TcpStream)> {
+        self.first = (self.first + 1) % self.all.len();
+        let Self { all, first } = self;
+        poll_fn(|cx| {
+            for n in 0..all.len() {
+                let (protocol, listener) = &all[(*first + n) % all.len()];
+                if let Poll::Ready(accepted) = listener.poll_accept(cx) {
+                    return Poll::Ready(accepted.map(|(stream, _)| (*protocol, stream)));
+                }
+            }
+            Poll::Pending
+        })
+        .await
+    }
 }
 
 /// Takes clients in; ends after SIGTERM, once all are answered and no more come.
-pub(crate) async fn accept(listener: TcpListener, door: Door) {
+pub(crate) async fn accept(mut listeners: Listeners, door: Door) {
     let ids = Arc::new(AtomicU64::new(0));
     let seats = Arc::new(());
     let (squeeze, squeezed) = watch::channel(());
@@ -173,8 +155,8 @@
         tokio::select! {
             // Before leaving, whoever has come is taken in.
             biased;
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => {
+            accepted = listeners.accept() => match accepted {
+                Ok((protocol, stream)) => {
                     door.counters.client();
                     if let Some(at) = &mut leave_at {
                         *at = (*at).max(Instant::now() + QUIET);
@@ -197,8 +179,8 @@
                         let id = move || RequestId(ids.fetch_add(1, Relaxed));
                         let stranger = Arc::new(Notify::new());
                         strangers.push_back((Instant::now(), Arc::downgrade(&stranger)));
-                        let held = postgres::Held { seat: Arc::clone(&seats), stranger: Some(stranger) };
-                        clients.spawn(postgres::serve(stream, door.clone(), id, squeezed.clone(), held));
+                        let held = client::Held { seat: Arc::clone(&seats), stranger: Some(stranger) };
+                        clients.spawn(client::serve(stream, protocol, door.clone(), id, squeezed.clone(), held));
                     }
                     if crowded {
                         // Who was shown out has to go before the next is counted.
@@ -206,7 +188,7 @@
                     }
                 }
                 Err(problem) => {
-                    eprintln!("accept: {problem}");
+                    tracing::warn!("accept: {problem}");
                     squeeze.send_replace(());
                     sleep(ACCEPT_REST).await;
                 }
--- /dev/null
+++ b/src/net/frontend/request.rs
@@ -0,0 +1,50 @@
+//! What a statement asks: names become numbers, and what must be there is.
+
+use super::fault::Fault;
+use crate::config::Names;
+use crate::interface::{SessionId, Time};
+use crate::net::messages::{Request, Statement};
+use crate::pgwire::KvStatement;
+use bytes::Bytes;
+use std::time::Duration;
+
+/// A client that waits longer is taken to wait so long: timers cannot be set for any time to come.
+const MOST_WAIT: Duration = Duration::from_secs(3_600);
+
+/// Reads a statement, at a moment of the module's time.
+///
+/// # Errors
+/// When it has another form, names a class that is not there or does not fit it.
+pub(super) fn read(text: Bytes, names: &Names, now: Time) -> Result<Request, Fault> {
+    let words = std::str::from_utf8(&text).map_err(|_| Fault::Encoding)?;
+    let KvStatement { write, key, value_at, comment } =
+        KvStatement::parse(words).map_err(|e| Fault::Syntax(e.to_string()))?;
+    let class = names.classes.iter().position(|class| class.name == comment.class);
+    let class = class.ok_or_else(|| Fault::Invalid(format!("there is no class `{}`", comment.class)))?;
+    let form = &names.classes[class];
+    if form.write != write {
+        let does = if form.write { "writes" } else { "reads" };
+        let problem = format!("the class `{}` {does}, the statement does not", form.name);
+        return Err(Fault::Invalid(problem));
+    }
+    if form.keyed && !comment.keyed {
+        return Err(Fault::Syntax("the comment lacks `k`".to_owned()));
+    }
+    // A tenant that the settings do not name has no share of its own: the module gives it full worth.
+    let tenant = names.tenants.iter().position(|name| *name == comment.tenant);
+    let after = comment.after_ms.filter(|ms| *ms > 0.0).map(|ms| Time((ms * 1e3) as i64));
+    // One that stands ahead of the clock was made just now.
+    let since_write = after.map(|at| Time((now.0 - at.0).max(1)));
+    let session = Some(SessionId::of(key));
+    Ok(Request {
+        class,
+        tenant: tenant.unwrap_or(names.tenants.len()),
+        group: comment.group,
+        session,
+        again: comment.again,
+        since_write,
+        wait: Duration::try_from_secs_f64(comment.wait_ms / 1e3).map_or(MOST_WAIT, |d| d.min(MOST_WAIT)),
+        name: comment.id,
+        statement: Statement { wait_at: comment.wait_at, value_at, text },
+    })
+}
--- /dev/null
+++ b/src/net/messages.rs
@@ -0,0 +1,158 @@
+//! What the actors say to each other, whatever protocol a client or a ledger host speaks. Types only.
+
+use crate::interface::{HostId, Outcome, Position, Report, RequestId, Role, SessionId, Time};
+use crate::listing::Listing;
+use bytes::Bytes;
+use std::ops::Range;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+/// A statement in its one form, and where in it stands what matters.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Statement {
+    /// The whole text, as a client of protocol 3 writes it.
+    pub text: Bytes,
+    /// The place of the client's wait in milliseconds.
+    pub wait_at: Range<usize>,
+    /// The place of a write's value, in hexadecimal digits.
+    pub value_at: Option<Range<usize>>,
+}
+
+impl Statement {
+    /// The statement with another wait, all else unchanged.
+    pub fn with_wait(&self, wait: Duration) -> Vec<u8> {
+        let wait = wait.as_millis().max(1).to_string();
+        [&self.text[..self.wait_at.start], wait.as_bytes(), &self.text[self.wait_at.end..]].concat()
+    }
+
+    /// A write with another wait and a parameter's name where its value stood, and the value; none for a read.
+    pub fn with_parameter(&self, name: &str, wait: Duration) -> Option<(Vec<u8>, Vec<u8>)> {
+        let value = self.value_at.clone()?;
+        let digits = self.text.get(value.clone())?;
+        let nibble = |digit: u8| char::from(digit).to_digit(16).unwrap_or_default() as u8;
+        let bytes = digits.chunks_exact(2).map(|pair| nibble(pair[0]) << 4 | nibble(pair[1])).collect();
+        // The literal begins with `'\x` and ends with `'`; the wait stands behind it.
+        let (before, after) = (value.start.checked_sub(3)?, value.end + 1);
+        let wait = wait.as_millis().max(1).to_string();
+        let middle = self.text.get(after..self.wait_at.start)?;
+        let parts =
+            [&self.text[..before], name.as_bytes(), middle, wait.as_bytes(), &self.text[self.wait_at.end..]];
+        Some((parts.concat(), bytes))
+    }
+}
+
+/// What a client asks.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Request {
+    /// The class, by number.
+    pub class: usize,
+    /// The tenant, by number.
+    pub tenant: usize,
+    /// The group that holds the data.
+    pub group: u32,
+    /// The session, if the statement names one.
+    pub session: Option<SessionId>,
+    /// Whether the client marks it as a retry.
+    pub again: bool,
+    /// How long ago the session's last write was, where the client tells.
+    pub since_write: Option<Time>,
+    /// How long the client waits.
+    pub wait: Duration,
+    /// The client's own name for it: none that is open may bear the same.
+    pub name: String,
+    /// What goes to the ledger host.
+    pub statement: Statement,
+}
+
+/// What a ledger host answered.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Value {
+    /// The value itself.
+    pub content: Bytes,
+    /// The messages of protocol 3 that brought it, if they did: a client of that protocol gets these to the
+    /// letter.
+    pub messages: Option<Bytes>,
+}
+
+/// The final answer to a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// A ledger host's value, as it wrote it.
+    Served(Value),
+    /// Turned away: trying again is harmless, after that time if there is one.
+    Refused {
+        /// How long the client should stay away.
+        retry_after: Option<Time>,
+    },
+    /// No value could be had; it may have had an effect.
+    Failed,
+    /// The request itself makes no sense.
+    Invalid(String),
+}
+
+/// What a client's actor is sent.
+#[derive(Debug)]
+pub(crate) enum Mail {
+    /// The answer to its request.
+    Answer(RequestId, Answer),
+}
+
+/// What the module's actor is told.
+#[derive(Debug)]
+pub(crate) enum Event {
+    /// A client asks.
+    Arrival(Box<Arrival>),
+    /// A client has left before its answer.
+    ClientLeft(RequestId),
+    /// An attempt has ended.
+    Ended(Box<AttemptEnd>),
+    /// A probe has ended.
+    Probed(Probe),
+    /// The list has changed.
+    List(Listing),
+}
+
+/// A request that has come.
+#[derive(Debug)]
+pub(crate) struct Arrival {
+    pub id: RequestId,
+    pub request: Request,
+    pub arrived: Instant,
+    pub client: mpsc::Sender<Mail>,
+}
+
+/// A position as a host writes it, in Unix milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Stamp(pub f64);
+
+impl Stamp {
+    /// In whole milliseconds: a commit up, so that no read misses it; what is applied down, as a lower bound.
+    pub fn rounded(self, commit: bool) -> Position {
+        let ms = if commit { self.0.ceil() } else { self.0.floor() };
+        // A host may write anything.
+        Position((ms as i64).saturating_mul(1000))
+    }
+}
+
+/// The end of an attempt.
+#[derive(Debug)]
+pub(crate) struct AttemptEnd {
+    pub id: RequestId,
+    pub attempt: u32,
+    pub host: HostId,
+    pub outcome: Outcome,
+    pub latency: Time,
+    pub position: Option<Stamp>,
+    pub role: Option<Role>,
+    pub value: Option<Value>,
+}
+
+/// The end of a probe.
+#[derive(Debug)]
+pub(crate) struct Probe {
+    pub host: HostId,
+    pub outcome: Outcome,
+    pub latency: Time,
+    pub report: Option<Report>,
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,85 +6,128 @@
 
 pub mod clock;
 pub(crate) mod core;
-pub mod discovery;
-pub mod frontend;
-pub mod upstream;
+pub(crate) mod discovery;
+pub(crate) mod frontend;
+pub mod messages;
+pub(crate) mod upstream;
 
 use crate::config::Config;
 use crate::counters::Counters;
+use crate::protocol::Protocol;
+use frontend::Listeners;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 /// Events that may wait for the module's actor.
 const CORE_MAILBOX: usize = 1024;
 
-/// Serves until SIGTERM and then until all is answered.
-///
-/// # Errors
-/// When the address cannot be listened on or signals cannot be had.
-pub async fn run(config: Config) -> io::Result<()> {
-    let counters = Arc::new(Counters::default());
-    let (events, mailbox) = mpsc::channel(CORE_MAILBOX);
-    let (ready, is_ready) = watch::channel(false);
-    let (drain, draining) = watch::channel(None);
-    let (moved, discovery) = watch::channel(config.discovery);
-    // Before all else: without a handler the signal would end the program.
-    let mut hup = signal(SignalKind::hangup())?;
-    let mut usr1 = signal(SignalKind::user_defined1())?;
-    let mut term = signal(SignalKind::terminate())?;
-    let listener = frontend::bind(config.listen).await?;
-    eprintln!("{} listens on {}", config.name, config.listen);
-    let since = config.known.as_ref().map(|list| list.index);
-    let zones = config.names.zones.clone();
-    let follower = tokio::spawn(discovery::follow(discovery, zones, since, events.clone()));
-    let clock = clock::Clock::start();
-    let door = frontend::Door {
-        clock,
-        events: events.clone(),
-        names: Arc::new(config.names.clone()),
-        ready: is_ready,
-        draining,
-        longest: config
-            .settings
-            .classes
-            .iter()
-            .map(|c| c.deadline.0)
-            .max()
-            .map_or(Duration::ZERO, |us| Duration::from_micros(us.max(0) as u64)),
-        counters: Arc::clone(&counters),
-        retry_after: config.settings.retry_after.then_some(config.settings.max_retry_after),
-        limit: config.limits.clients,
-    };
-    let mut front = tokio::spawn(frontend::accept(listener, door));
-    let core = core::Core::new(config.clone(), clock, events, ready, Arc::clone(&counters));
-    let core = core.map_err(io::Error::other)?;
-    let mut core = tokio::spawn(core.run(mailbox));
-    let ended = loop {
-        tokio::select! {
-            _ = usr1.recv() => eprintln!("counters: {counters}"),
-            _ = hup.recv() => match config.rediscover() {
-                Ok(address) => { moved.send_replace(address); }
-                Err(problem) => eprintln!("the configuration stays as it was: {problem}"),
-            },
-            // The first one counts: what it promised holds.
-            _ = term.recv() => {
-                eprintln!("drains");
-                drain.send_if_modified(|since| {
-                    let first = since.is_none();
-                    since.get_or_insert_with(Instant::now);
-                    first
-                });
+/// What a running proxy is asked to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Control {
+    /// Write the counters to the log.
+    Report,
+    /// Read the configuration file again.
+    Reread,
+    /// Take no more clients in, answer what is open, and end.
+    Drain,
+}
+
+/// A proxy that has its ports and does not serve yet.
+#[derive(Debug)]
+pub struct Proxy {
+    config: Config,
+    listeners: Listeners,
+    counters: Arc<Counters>,
+}
+
+impl Proxy {
+    /// Listens on the addresses of the configuration.
+    ///
+    /// # Errors
+    /// When one cannot be had.
+    pub async fn bind(config: Config) -> io::Result<Self> {
+        let listeners = Listeners::bind(&config.listeners()).await?;
+        Ok(Self { config, listeners, counters: Arc::default() })
+    }
+
+    /// Where clients connect, and what is spoken there.
+    ///
+    /// # Errors
+    /// When the system does not tell.
+    pub fn addresses(&self) -> io::Result<Vec<(Protocol, SocketAddr)>> {
+        self.listeners.addresses()
+    }
+
+    /// What it counts, to be read while it serves.
+    pub fn counters(&self) -> Arc<Counters> {
+        Arc::clone(&self.counters)
+    }
+
+    /// Serves until it is asked to drain, and then until all is answered.
+    ///
+    /// # Errors
+    /// When the settings cannot work, or an actor has failed.
+    pub async fn serve(self, mut control: mpsc::Receiver<Control>) -> io::Result<()> {
+        let Self { config, listeners, counters } = self;
+        let (events, mailbox) = mpsc::channel(CORE_MAILBOX);
+        let (ready, is_ready) = watch::channel(false);
+        let (drain, draining) = watch::channel(None);
+        let (moved, discovery) = watch::channel(config.discovery);
+        let since = config.known.as_ref().map(|list| list.index);
+        let zones = config.names.zones.clone();
+        let clock = clock::Clock::start();
+        let door = frontend::Door {
+            clock,
+            events: events.clone(),
+            names: Arc::new(config.names.clone()),
+            ready: is_ready,
+            draining,
+            longest: longest(&config),
+            counters: Arc::clone(&counters),
+            retry_after: config.settings.retry_after.then_some(config.settings.max_retry_after),
+            limit: config.limits.clients,
+        };
+        let core = core::Core::new(config.clone(), clock, events.clone(), ready, Arc::clone(&counters));
+        let core = core.map_err(io::Error::other)?;
+        let follower = tokio::spawn(discovery::follow(discovery, zones, since, events));
+        let mut front = tokio::spawn(frontend::accept(listeners, door));
+        let mut core = tokio::spawn(core.run(mailbox));
+        let ended = loop {
+            tokio::select! {
+                Some(asked) = control.recv() => match asked {
+                    Control::Report => tracing::info!("counters: {counters}"),
+                    Control::Reread => match config.rediscover() {
+                        Ok(address) => { moved.send_replace(address); }
+                        Err(problem) => tracing::error!("the configuration stays as it was: {problem}"),
+                    },
+                    Control::Drain => {
+                        tracing::info!("drains");
+                        // The first one counts: what it promised holds.
+                        drain.send_if_modified(|since| {
+                            let first = since.is_none();
+                            since.get_or_insert_with(Instant::now);
+                            first
+                        });
+                    }
+                },
+                ended = &mut front => break ended.map_err(io::Error::other),
+                // Without the module nothing can be answered: better to end than to take requests in vain.
+                ended = &mut core => break ended.map_err(io::Error::other),
             }
-            ended = &mut front => break ended.map_err(io::Error::other),
-            // Without the module nothing can be answered: better to end than to take requests in vain.
-            ended = &mut core => break ended.map_err(io::Error::other),
-        }
-    };
-    eprintln!("counters: {counters}");
-    follower.abort();
-    ended
+        };
+        tracing::info!("counters: {counters}");
+        follower.abort();
+        core.abort();
+        ended
+    }
+}
+
+/// The longest time that a class of requests is given.
+fn longest(config: &Config) -> Duration {
+    let longest = config.settings.classes.iter().map(|class| class.deadline.0).max();
+    longest.map_or(Duration::ZERO, |us| Duration::from_micros(us.max(0) as u64))
 }
--- /dev/null
+++ b/src/net/upstream/connection.rs
@@ -0,0 +1,125 @@
+//! A connection to a ledger host, in whatever protocol that speaks.
+
+use super::dialect::{Ask, Dialect};
+use super::exchange::Exchange;
+use super::postgres::Postgres;
+use super::tds::Tds;
+use crate::interface::Outcome;
+use crate::protocol::Protocol;
+use bytes::BytesMut;
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::{sleep_until, Instant};
+
+/// A buffer that has grown beyond this is given back after its answer.
+const KEPT: usize = 4 * 1024;
+/// An answer whose first byte has come is there whole after this time, or never will be: hosts write it at once.
+const REST: Duration = Duration::from_millis(250);
+
+/// Where a ledger host is, and what it speaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Place {
+    pub address: SocketAddr,
+    pub protocol: Protocol,
+}
+
+#[derive(Debug)]
+pub(super) struct Connection {
+    stream: TcpStream,
+    place: Place,
+    dialect: Box<dyn Dialect>,
+    read: BytesMut,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Connection {
+    /// Opens a connection; it is ready for its first request.
+    pub async fn open(place: Place, permit: OwnedSemaphorePermit) -> Result<Self, Outcome> {
+        let failed = |_: io::Error| Outcome::ConnectFailed;
+        let stream = TcpStream::connect(place.address).await.map_err(failed)?;
+        stream.set_nodelay(true).map_err(failed)?;
+        let dialect: Box<dyn Dialect> = match place.protocol {
+            Protocol::Postgres => Box::new(Postgres),
+            Protocol::Tds => Box::new(Tds::new()),
+        };
+        let mut new = Self { stream, place, dialect, read: BytesMut::with_capacity(1024), _permit: permit };
+        let mut out = BytesMut::new();
+        new.dialect.greet(&mut out);
+        loop {
+            if !out.is_empty() {
+                new.stream.write_all(&out.split()).await.map_err(failed)?;
+            }
+            if new.stream.read_buf(&mut new.read).await.map_err(failed)? == 0 {
+                return Err(Outcome::ConnectFailed);
+            }
+            if new.dialect.greeted(&mut new.read, &mut out)? {
+                // What comes unasked would be read as the first request's answer.
+                return if new.read.is_empty() { Ok(new) } else { Err(Outcome::ConnectFailed) };
+            }
+        }
+    }
+
+    pub fn place(&self) -> Place {
+        self.place
+    }
+
+    /// Whether an idle connection is still open and silent, as it has to be. Asks the socket itself: the
+    /// runtime may not have seen yet that it was closed.
+    pub fn stands(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = socket2::SockRef::from(&self.stream).peek(&mut byte);
+        matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Writes a request and reads its answer into the exchange; whether the connection can be used again.
+    pub async fn ask(&mut self, ask: &Ask<'_>, exchange: &mut Exchange) -> bool {
+        let good = self.converse(ask, exchange).await;
+        if self.read.capacity() > KEPT {
+            // Hundreds of idle connections must not each keep room for the longest answer.
+            self.read = BytesMut::new();
+        }
+        good
+    }
+
+    async fn converse(&mut self, ask: &Ask<'_>, exchange: &mut Exchange) -> bool {
+        let mut out = BytesMut::new();
+        self.dialect.ask(ask, &mut out);
+        // One write for the message: a part of it alone would be a request that never ends.
+        if self.stream.write_all(&out).await.is_err() {
+            return false;
+        }
+        exchange.written = true;
+        drop(out);
+        let mut whole_by = None;
+        loop {
+            if let Some(good) = self.dialect.heard(&mut self.read, exchange) {
+                return good;
+            }
+            let late = async {
+                match whole_by {
+                    Some(at) => sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                read = self.stream.read_buf(&mut self.read) => match read {
+                    Ok(0) | Err(_) => return false,
+                    Ok(_) => { whole_by.get_or_insert_with(|| Instant::now() + REST); }
+                },
+                () = late => {
+                    // A line with no end: the answer was said whole before it, or never will be.
+                    if !exchange.told() {
+                        exchange.spoil();
+                    }
+                    return false;
+                }
+            }
+        }
+    }
+}
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -1,14 +1,19 @@
 //! Ledger hosts: one actor each, which owns its connections, attempts and probes.
 
+mod connection;
+mod dialect;
+mod exchange;
 mod postgres;
+mod tds;
 
-use super::core::Event;
-use super::frontend::Statement;
+use super::messages::{AttemptEnd, Event, Probe, Statement};
 use crate::config::Config;
 use crate::counters::Counters;
-use crate::interface::{HostId, HostState, Outcome, Position, Report, RequestId, Role, Time};
-use bytes::Bytes;
-use postgres::Connection;
+use crate::interface::{HostId, HostState, Outcome, RequestId, Time};
+use crate::protocol::Protocol;
+use connection::{Connection, Place};
+use dialect::Ask;
+use exchange::Exchange;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -27,7 +32,7 @@
 #[derive(Debug)]
 pub(crate) enum Command {
     /// The list names the host.
-    Listed { address: SocketAddr, state: HostState },
+    Listed { address: SocketAddr, protocol: Protocol, state: HostState },
     /// The list names it no longer.
     Gone,
     /// Sends a request.
@@ -49,41 +54,6 @@
     pub deadline: Instant,
 }
 
-/// A position as a host writes it, in Unix milliseconds.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct Stamp(pub f64);
-
-impl Stamp {
-    /// In whole milliseconds: a commit up, so that no read misses it; what is applied down, as a lower bound.
-    pub fn rounded(self, commit: bool) -> Position {
-        let ms = if commit { self.0.ceil() } else { self.0.floor() };
-        // A host may write anything.
-        Position((ms as i64).saturating_mul(1000))
-    }
-}
-
-/// The end of an attempt.
-#[derive(Debug)]
-pub(crate) struct AttemptEnd {
-    pub id: RequestId,
-    pub attempt: u32,
-    pub host: HostId,
-    pub outcome: Outcome,
-    pub latency: Time,
-    pub position: Option<Stamp>,
-    pub role: Option<Role>,
-    pub value: Option<Bytes>,
-}
-
-/// The end of a probe.
-#[derive(Debug)]
-pub(crate) struct Probe {
-    pub host: HostId,
-    pub outcome: Outcome,
-    pub latency: Time,
-    pub report: Option<Report>,
-}
-
 /// What the hosts' actors share: the descriptors that they may use, and the spans.
 #[derive(Clone, Debug)]
 pub(crate) struct Pool {
@@ -113,13 +83,19 @@
 pub(crate) struct Peer(mpsc::Sender<Command>);
 
 impl Peer {
-    pub fn start(host: HostId, address: SocketAddr, pool: Pool, events: mpsc::Sender<Event>) -> Self {
+    pub fn start(
+        host: HostId,
+        address: SocketAddr,
+        protocol: Protocol,
+        pool: Pool,
+        events: mpsc::Sender<Event>,
+    ) -> Self {
         let (commands, mailbox) = mpsc::channel(MAILBOX);
         let running = watch::channel(true).0;
         let squeezed = pool.squeeze.subscribe();
         let actor = Host {
             host,
-            address,
+            place: Place { address, protocol },
             pool,
             running,
             idle: VecDeque::new(),
@@ -134,7 +110,7 @@
     /// Waits for room: the host's actor never waits for the module, so there will be some.
     pub async fn tell(&self, command: Command) {
         if self.0.send(command).await.is_err() {
-            eprintln!("a host's actor has ended");
+            tracing::error!("a host's actor has ended");
         }
     }
 }
@@ -152,7 +128,7 @@
 
 struct Host {
     host: HostId,
-    address: SocketAddr,
+    place: Place,
     pool: Pool,
     /// Whether the list says that it runs: what is not yet written goes to no other.
     running: watch::Sender<bool>,
@@ -177,7 +153,7 @@
                 biased;
                 Some(done) = self.tasks.join_next() => match done {
                     Ok(done) => self.done(done),
-                    Err(problem) => eprintln!("an attempt's task: {problem}"),
+                    Err(problem) => tracing::error!("an attempt's task: {problem}"),
                 },
                 Ok(permit) = events.reserve(), if !self.tell.is_empty() => {
                     if let Some(event) = self.tell.pop_front() {
@@ -200,7 +176,7 @@
         if let Event::Ended(end) = &done.event {
             self.out.remove(&(end.id, end.attempt));
         }
-        if let Some(connection) = done.connection.filter(|c| c.address() == self.address) {
+        if let Some(connection) = done.connection.filter(|c| c.place() == self.place) {
             self.idle.push_back(Idle { connection, since: Instant::now() });
         }
         self.tell.push_back(done.event);
@@ -208,9 +184,10 @@
 
     fn command(&mut self, command: Command) {
         match command {
-            Command::Listed { address, state } => {
-                if address != self.address {
-                    self.address = address;
+            Command::Listed { address, protocol, state } => {
+                let place = Place { address, protocol };
+                if place != self.place {
+                    self.place = place;
                     self.idle.clear();
                 }
                 self.running.send_replace(state == HostState::Running);
@@ -256,13 +233,13 @@
                 _ => {}
             }
         }
-        Way { idle, address: self.address, pool: self.pool.clone(), running: self.running.subscribe() }
+        Way { idle, place: self.place, pool: self.pool.clone(), running: self.running.subscribe() }
     }
 }
 
 struct Way {
     idle: Option<Connection>,
-    address: SocketAddr,
+    place: Place,
     pool: Pool,
     running: watch::Receiver<bool>,
 }
@@ -276,7 +253,7 @@
         }
         self.pool.counters.connect();
         let give_up = deadline.min(Instant::now() + self.pool.connect_timeout);
-        let Way { address, pool, running, .. } = self;
+        let Way { place, pool, running, .. } = self;
         let opened = async {
             let permits = Arc::clone(&pool.permits);
             let permit = match Arc::clone(&permits).try_acquire_owned() {
@@ -291,9 +268,7 @@
                     }
                 }
             };
-            timeout_at(give_up, Connection::open(*address, permit))
-                .await
-                .unwrap_or(Err(Outcome::ConnectFailed))
+            timeout_at(give_up, Connection::open(*place, permit)).await.unwrap_or(Err(Outcome::ConnectFailed))
         };
         tokio::select! {
             biased;
@@ -306,14 +281,13 @@
 
 async fn try_once(host: HostId, a: Attempt, mut way: Way, mut cancelled: oneshot::Receiver<()>) -> Done {
     let mut connection = None;
-    let mut exchange = postgres::Exchange::default();
+    let mut exchange = Exchange::default();
     let stopped = {
         let work = async {
             let open = way.open(a.deadline).await?;
             let left = a.deadline.saturating_duration_since(Instant::now());
-            let statement = a.statement.with_wait(left);
             let open = connection.insert(open);
-            Ok(open.ask(&statement, &mut exchange).await)
+            Ok(open.ask(&Ask::Statement(&a.statement, left), &mut exchange).await)
         };
         tokio::select! {
             biased;
@@ -338,20 +312,20 @@
         latency: Time(a.sent.elapsed().as_micros() as i64),
         position: exchange.position,
         role: exchange.role,
-        value: (outcome == Outcome::Ok).then(|| exchange.value.freeze()),
+        value: (outcome == Outcome::Ok).then(|| exchange.value()),
     };
     Done { connection: connection.filter(|_| good), event: Event::Ended(Box::new(end)) }
 }
 
 async fn probe(host: HostId, sent: Instant, mut way: Way) -> Done {
     let mut connection = None;
-    let mut exchange = postgres::Exchange::default();
+    let mut exchange = Exchange::default();
     let deadline = sent + way.pool.connect_timeout;
-    let statement: &[u8] = if way.pool.reports { b"SHOW load" } else { b"SELECT 1" };
+    let ask = if way.pool.reports { Ask::Load } else { Ask::Ping };
     let work = async {
         let open = way.open(deadline).await?;
         let open = connection.insert(open);
-        Ok(open.ask(statement, &mut exchange).await)
+        Ok(open.ask(&ask, &mut exchange).await)
     };
     let (outcome, good) = match timeout_at(deadline, work).await {
         Ok(Ok(good)) => (exchange.outcome(), good),
--- /dev/null
+++ b/tests/operator.rs
@@ -0,0 +1,66 @@
+//! The operator's file: what it sets, and what is refused with which words.
+
+use rstest::rstest;
+use std::process::Command;
+use wheelpier::config::Operator;
+use wheelpier::protocol::Protocol;
+
+#[test]
+fn the_example_is_good() {
+    let text = std::fs::read_to_string("deploy/operator/tds.yaml").unwrap();
+    let operator = Operator::read(&text, "tds.yaml").unwrap();
+    let listeners: Vec<_> = operator.listeners.iter().map(|l| (l.protocol, l.address.to_string())).collect();
+    assert_eq!(listeners, [(Protocol::Tds, "127.0.0.1:1433".to_owned())]);
+    assert_eq!(operator.hosts.protocol("m2-tds"), Protocol::Tds);
+    assert_eq!(operator.hosts.protocol("anything else"), Protocol::Postgres);
+}
+
+#[rstest]
+#[case::empty("")]
+#[case::remarks_only("# nothing\n\n")]
+#[case::of_no_keys("{}")]
+fn what_sets_nothing_is_the_default(#[case] text: &str) {
+    assert_eq!(Operator::read(text, "f").unwrap(), Operator::default());
+}
+
+#[rstest]
+#[case::unknown_key("listener: []", "f:1: file", "unknown field")]
+#[case::unknown_key_within("hosts:\n  defaults: tds", "f:2: file", "unknown field")]
+#[case::duplicate_key("hosts: {default: tds}\nhosts: {default: tds}", "f:2: file", "duplicate")]
+#[case::unknown_protocol(
+    "hosts:\n  types:\n    m2: mysql",
+    "f:3: hosts.types.m2",
+    "`mysql` is no protocol; allowed are postgres and tds"
+)]
+#[case::no_host_speaks_it(
+    "\nlisteners:\n- {protocol: tds, address: '127.0.0.1:1'}",
+    "f:3: listeners[0].protocol",
+    "no ledger host speaks tds"
+)]
+#[case::no_address(
+    "hosts: {default: tds}\nlisteners:\n- protocol: tds\n  address: here",
+    "f:4: listeners[0].address",
+    "`here` is no address with a port"
+)]
+#[case::twice(
+    "listeners:\n- {protocol: postgres, address: '[::1]:5'}\n- {protocol: postgres, address: '[::1]:5'}",
+    "f:3: listeners[1].address",
+    "stands twice"
+)]
+#[case::lacks_a_key("listeners:\n- protocol: postgres", "f:2: file", "missing field `address`")]
+#[case::no_yaml("listeners: [", "f:1: file", "")]
+fn what_makes_no_sense_is_refused(#[case] text: &str, #[case] place: &str, #[case] problem: &str) {
+    let told = Operator::read(text, "f").unwrap_err().to_string();
+    assert!(told.starts_with(place) && told.contains(problem) && told.lines().count() == 1, "{told}");
+}
+
+#[test]
+fn the_program_ends_with_one_line_on_a_bad_file() {
+    let file = std::env::temp_dir().join(format!("wheelpier-operator-{}.yaml", std::process::id()));
+    std::fs::write(&file, "hosts: {default: mysql}").unwrap();
+    let program =
+        Command::new(env!("CARGO_BIN_EXE_wheelpier")).arg("--operator").arg(&file).output().unwrap();
+    let told = String::from_utf8(program.stderr).unwrap();
+    assert_eq!(program.status.code(), Some(1), "{told}");
+    assert!(told.contains(":1: hosts.default: `mysql`") && told.lines().count() == 1, "{told}");
+}
--- /dev/null
+++ b/tests/sockets/main.rs
@@ -0,0 +1,5 @@
+//! The program on sockets: conversations in the language of `scenario`.
+
+mod proxy;
+mod scenario;
+mod tds;
--- a/tests/sockets/proxy.rs
+++ b/tests/sockets/proxy.rs
@@ -1,9 +1,7 @@
-//! The program on sockets: conversations in the language of `scenario`, each with what it guards against.
-
-mod scenario;
+//! PostgreSQL on sockets: each conversation with what it guards against.
 
+use crate::scenario::{play, settings, Program};
 use rstest::rstest;
-use scenario::{play, settings, Program};
 
 #[rstest]
 #[case::a_read_is_served_to_the_letter(
--- a/tests/sockets/scenario/mod.rs
+++ b/tests/sockets/scenario/mod.rs
@@ -14,10 +14,15 @@
 //! list send NAME STATUS;  list expect WORDS (a request holding them all);  list close
 //! proxy send TERM | HUP;  proxy expect exit CODE | log WORDS
 //! file send moved (discovery at a new address, which `list` is from then on) | text TEXT
+//! t1, t2, ...: clients that speak TDS, in `play_tds`, where the hosts do too; see `tds.rs` for their words
+//! t1 send prelogin ENCRYPTION | login VERSION | text SQL | read, own, write ID D | call ID D | attention | raw HEX
+//! t1 expect prelogin | ready VERSION | value V | error NUMBER | done | attention | closed | silence MS
 //! c1-9 ...: the same for each of them, its number for `@`
 //! any expect WORDS: the query comes to whatever host, which `any` stands for from then on
 //! ```
 
+mod tds;
+
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -101,19 +106,27 @@
     Some((head[0], content))
 }
 
+/// What the ledger hosts of a scenario speak.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Wire {
+    Postgres,
+    Tds,
+}
+
 /// A query that has come to a host, and the connection on which it waits for its answer.
 type Query = (String, TcpStream);
 
 /// A ledger host: greets, answers probes and passes queries on to the scenario.
 struct Host {
     address: SocketAddr,
+    wire: Wire,
     queries: Receiver<Query>,
     current: Option<TcpStream>,
     load: Arc<Mutex<Option<String>>>,
 }
 
 impl Host {
-    fn start(primary: bool) -> Self {
+    fn start(wire: Wire, primary: bool) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let (sender, queries) = channel();
@@ -122,10 +135,13 @@
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (sender, told) = (sender.clone(), Arc::clone(&told));
-                std::thread::spawn(move || Self::greet(stream, primary, told, sender));
+                std::thread::spawn(move || match wire {
+                    Wire::Postgres => Self::greet(stream, primary, told, sender),
+                    Wire::Tds => Self::greet_tds(stream, primary, told, sender),
+                });
             }
         });
-        Self { address, queries, current: None, load }
+        Self { address, wire, queries, current: None, load }
     }
 
     fn greet(
@@ -142,8 +158,7 @@
         while let Some((b'Q', text)) = read_message(&mut stream) {
             let text = String::from_utf8(text).ok()?;
             if text.starts_with("SHOW load") {
-                let truth = || format!("x0={},x1={},util=0.1", unix_ms() as f64 / 1e3, u8::from(primary));
-                let load = told.lock().unwrap().clone().unwrap_or_else(truth);
+                let load = Self::report(primary, &told);
                 stream.write_all(&[row(&load), message(b'Z', b"I")].concat()).ok()?;
             } else {
                 sender.send((text, stream.try_clone().ok()?)).ok()?;
@@ -151,6 +166,30 @@
         }
         None
     }
+
+    fn greet_tds(
+        mut stream: TcpStream,
+        primary: bool,
+        told: Arc<Mutex<Option<String>>>,
+        sender: Sender<Query>,
+    ) -> Option<()> {
+        tds::greet(&mut stream)?;
+        while let Some((kind, content)) = tds::read(&mut stream) {
+            let text = tds::request(kind, &content)?;
+            if text.starts_with("SHOW load") {
+                stream.write_all(&tds::load(&Self::report(primary, &told))).ok()?;
+            } else {
+                sender.send((text, stream.try_clone().ok()?)).ok()?;
+            }
+        }
+        None
+    }
+
+    /// What it tells of itself: the truth, unless the scenario says otherwise.
+    fn report(primary: bool, told: &Mutex<Option<String>>) -> String {
+        let truth = || format!("x0={},x1={},util=0.1", unix_ms() as f64 / 1e3, u8::from(primary));
+        told.lock().unwrap().clone().unwrap_or_else(truth)
+    }
 }
 
 /// Discovery: keeps the list and the watch that is open.
@@ -204,10 +243,21 @@
 
 impl Program {
     pub fn start(config: &str, listen: &str, discovery: &str) -> Self {
+        Self::start_with(config, listen, discovery, None)
+    }
+
+    /// With an operator's file of that text.
+    pub fn start_with(config: &str, listen: &str, discovery: &str, operator: Option<&str>) -> Self {
         let stamp = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos();
         let file = std::env::temp_dir().join(format!("wheelpier-{}-{stamp}.json", std::process::id()));
         std::fs::write(&file, config).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_wheelpier"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_wheelpier"));
+        if let Some(text) = operator {
+            let operator = file.with_extension("yaml");
+            std::fs::write(&operator, text).unwrap();
+            command.arg("--operator").arg(operator);
+        }
+        let mut child = command
             .envs([("GW_NAME", "n0"), ("GW_LISTEN", listen), ("GW_DISCOVERY", discovery)])
             .env("GW_CONFIG", &file)
             .stderr(Stdio::piped())
@@ -251,6 +301,8 @@
 
 pub struct Scenario {
     listen: SocketAddr,
+    /// Where clients connect that speak TDS.
+    tds: SocketAddr,
     program: Program,
     hosts: Vec<Host>,
     list: List,
@@ -264,23 +316,29 @@
 
 impl Scenario {
     /// A proxy that knows `hosts` ledger hosts of group 0 and is ready.
-    fn start(hosts: usize) -> Self {
-        let hosts: Vec<Host> = (0..hosts).map(|n| Host::start(n == 0)).collect();
+    fn start(wire: Wire, hosts: usize) -> Self {
+        let hosts: Vec<Host> = (0..hosts).map(|n| Host::start(wire, n == 0)).collect();
         let list = List::start();
         let listen = TcpListener::bind(own_address()).unwrap().local_addr().unwrap();
+        let tds = TcpListener::bind(own_address()).unwrap().local_addr().unwrap();
+        let operator = format!("hosts: {{default: tds}}\nlisteners: [{{protocol: tds, address: '{tds}'}}]\n");
+        let operator = Some(&operator[..]).filter(|_| wire == Wire::Tds);
         let entries = hosts.iter().enumerate().map(|(n, h)| entry(&format!("h{}", n + 1), h.address, "up"));
         let entries = entries.collect::<Vec<_>>().join(",");
         let known = format!(r#"{{"index":1,"snapshot":true,"endpoints":[{entries}]}}"#);
         let limits = r#"{"cores":1.0,"memory_mb":192,"sockets":64}"#;
         let config =
             format!(r#"{{"seed":"8c1f","limits":{limits},"known":{known},"settings":{}}}"#, settings());
-        let program = Program::start(&config, &listen.to_string(), &list.address.to_string());
+        let discovery = list.address.to_string();
+        let program = Program::start_with(&config, &listen.to_string(), &discovery, operator);
         let until = Instant::now() + PATIENCE;
-        while TcpStream::connect(listen).is_err() {
+        let last = if operator.is_some() { tds } else { listen };
+        while TcpStream::connect(last).is_err() {
             assert!(Instant::now() < until, "the proxy does not listen");
             std::thread::sleep(Duration::from_millis(10));
         }
-        Self { listen, program, hosts, list, left: Vec::new(), config, clients: HashMap::new(), any: 0 }
+        let (left, clients) = (Vec::new(), HashMap::new());
+        Self { listen, tds, program, hosts, list, left, config, clients, any: 0 }
     }
 
     fn line(&mut self, line: &str) {
@@ -337,22 +395,25 @@
             }
             ("a", _) => self.hosts[self.any].act(verb, what),
             ("h", _) => self.hosts[number()].act(verb, what),
-            ("c", _) => self.client(who, verb, what),
+            ("c" | "t", _) => self.client(who, verb, what),
             _ => panic!("who?"),
         }
     }
 
     fn client(&mut self, who: &str, verb: &str, what: &str) {
-        let listen = self.listen;
+        let speaks_tds = who.starts_with('t');
+        let listen = if speaks_tds { self.tds } else { self.listen };
         let stream = self.clients.entry(who.to_owned()).or_insert_with(|| {
             let stream = TcpStream::connect(listen).expect("the proxy takes clients");
             stream.set_read_timeout(Some(PATIENCE)).unwrap();
             stream
         });
         match verb {
+            "send" if speaks_tds => stream.write_all(&tds::client_bytes(what)).unwrap(),
             "send" => stream.write_all(&client_bytes(what)).unwrap(),
             "close" if what == "half" => stream.shutdown(Shutdown::Write).unwrap(),
             "close" => drop(self.clients.remove(who)),
+            "expect" if speaks_tds => tds::client_expects(stream, what),
             "expect" => client_expects(stream, what),
             _ => panic!("does what?"),
         }
@@ -374,6 +435,9 @@
         }
         let stream = self.current.as_mut().expect("a query has come");
         let mut words = what.split(' ');
+        if self.wire == Wire::Tds {
+            return stream.write_all(&tds::host_bytes(what)).unwrap();
+        }
         let bytes = match (words.next().unwrap(), words.next().unwrap()) {
             ("value", value) => {
                 let role = words.next().unwrap_or("replica");
@@ -452,6 +516,11 @@
 fn client_expects(stream: &mut TcpStream, what: &str) {
     let (kind, rest) = what.split_once(' ').unwrap_or((what, ""));
     match kind {
+        "bytes" => {
+            let mut heard = vec![0; rest.len() / 2];
+            stream.read_exact(&mut heard).unwrap();
+            return assert_eq!(heard, unhex(rest));
+        }
         "N" => {
             let mut byte = [0];
             stream.read_exact(&mut byte).unwrap();
@@ -500,7 +569,15 @@
 
 /// Plays a scenario with so many ledger hosts.
 pub fn play(hosts: usize, text: &str) {
-    let mut scenario = Scenario::start(hosts);
+    run(Scenario::start(Wire::Postgres, hosts), text);
+}
+
+/// Plays a scenario with so many ledger hosts that speak TDS, and a port for clients that do.
+pub fn play_tds(hosts: usize, text: &str) {
+    run(Scenario::start(Wire::Tds, hosts), text);
+}
+
+fn run(mut scenario: Scenario, text: &str) {
     for (n, line) in text.lines().enumerate() {
         let line = line.split('#').next().unwrap_or("").trim();
         if !line.is_empty() {
@@ -510,8 +587,10 @@
                 None => scenario.line(line),
                 Some(((from, to), rest)) => {
                     let (from, to): (u32, u32) = (from[1..].parse().unwrap(), to.parse().unwrap());
-                    (from..=to)
-                        .for_each(|n| scenario.line(&format!("c{n} {}", rest.replace('@', &n.to_string()))));
+                    let kind = &line[..1];
+                    (from..=to).for_each(|n| {
+                        scenario.line(&format!("{kind}{n} {}", rest.replace('@', &n.to_string())))
+                    });
                 }
             }
         }
