Add stand-in ledger sets and a laboratory: demo, parity, real drivers, benches

Need: that TDS fares like PostgreSQL, rules included, can only be shown against one world under both protocols, and an operator wants to see the whole thing on one machine. A read needs what its session had acknowledged when it was sent, not when it arrived: the checker's first version called two good reads stale.

--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,78 @@
+//! `wheelpier-lab`: load, experiments and demonstrations on the stand-ins of this repository. All on loopback.
+#![forbid(unsafe_code)]
+
+mod demo;
+pub mod load;
+mod parity;
+pub mod rig;
+mod table;
+
+use clap::{Parser, Subcommand};
+use std::process::ExitCode;
+use tracing_subscriber::filter::LevelFilter;
+
+/// Load, experiments and demonstrations on wheelpier's stand-ins.
+#[derive(Debug, Parser)]
+#[command(name = "wheelpier-lab", version, max_term_width = 100)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Starts ledger sets, discovery and a proxy with a port for each protocol, under a trickle of load.
+    Demo(demo::Demo),
+    /// The same arrivals and troubles over PostgreSQL and over TDS. Exit status 0 if they fare alike.
+    Parity(parity::Parity),
+}
+
+/// Why an experiment could not be made.
+#[derive(Debug, thiserror::Error)]
+pub enum LabError {
+    /// A socket or a file could not be had.
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+    /// The proxy does not take its configuration.
+    #[error("{0}")]
+    Config(#[from] wheelpier::config::ConfigError),
+    /// Nor its operator's file.
+    #[error("{0}")]
+    Operator(#[from] wheelpier::config::OperatorError),
+    /// A thread has ended before its time.
+    #[error("a part of the experiment has ended before its time")]
+    Ended,
+}
+
+/// Runs what the command line asks for.
+pub fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    tracing_subscriber::fmt().with_writer(std::io::stderr).with_max_level(LevelFilter::ERROR).init();
+    let done = match arguments.command {
+        Command::Demo(demo) => demo.run().map(|()| true),
+        Command::Parity(parity) => parity.run(),
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(problem) => {
+            eprintln!("wheelpier-lab: {problem}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// A runtime of one thread, as the proxy has it.
+pub fn runtime() -> std::io::Result<tokio::runtime::Runtime> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build()
+}
+
+/// A span as `20s`, `4h` or `150ms`.
+fn span(text: &str) -> Result<std::time::Duration, String> {
+    let wrong = || format!("`{text}` is no span; allowed are numbers with ms, s, m or h, as 20s");
+    let units = [("ms", 0.001), ("s", 1.0), ("m", 60.0), ("h", 3_600.0)];
+    let found = units.iter().find_map(|(unit, seconds)| Some((text.strip_suffix(unit)?, seconds)));
+    let (number, seconds) = found.ok_or_else(wrong)?;
+    let number: f64 = number.parse().map_err(|_| wrong())?;
+    std::time::Duration::try_from_secs_f64(number * seconds).map_err(|_| wrong())
+}
--- /dev/null
+++ b/crates/lab/src/load.rs
@@ -0,0 +1,140 @@
+//! Open-loop load: each request goes out at its time, whatever became of those before. A latency counts from
+//! the time at which the request was to go out, so that a late sender hides nothing (coordinated omission).
+
+use hdrhistogram::Histogram;
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::task::{JoinSet, LocalSet};
+use tokio::time::{sleep_until, timeout, Instant};
+use wheelpier_standin::net::client::{Answer, Client};
+use wheelpier_standin::net::{Clock, Told, Wire};
+use wheelpier_standin::schedule::Planned;
+use wheelpier_standin::spec::{Freshness, Spec};
+use wheelpier_standin::Micros;
+
+/// Beyond its deadline a client waits so long for an answer that breaks the rule.
+const PATIENCE: Duration = Duration::from_millis(500);
+/// The longest latency that is told apart, in microseconds.
+const LONGEST: u64 = 60_000_000;
+
+/// How the requests of a class fared.
+#[derive(Clone, Debug)]
+pub struct ClassResult {
+    pub name: &'static str,
+    pub offered: u64,
+    pub served: u64,
+    /// Served within the class's aim.
+    pub in_time: u64,
+    pub refused: u64,
+    pub failed: u64,
+    /// Of those that were served, in microseconds.
+    pub latency: Histogram<u64>,
+}
+
+impl ClassResult {
+    fn new(name: &'static str) -> Self {
+        // Fails only where the bounds make no sense.
+        let latency =
+            Histogram::new_with_max(LONGEST, 3).unwrap_or_else(|_| Histogram::new(3).expect("3 digits"));
+        Self { name, offered: 0, served: 0, in_time: 0, refused: 0, failed: 0, latency }
+    }
+
+    /// A percentile in milliseconds.
+    pub fn percentile(&self, percent: f64) -> f64 {
+        self.latency.value_at_quantile(percent / 100.0) as f64 / 1e3
+    }
+}
+
+/// Where the load goes.
+#[derive(Clone, Debug)]
+pub struct Target {
+    pub wire: Wire,
+    pub address: SocketAddr,
+    pub spec: Rc<Spec>,
+    pub clock: Clock,
+    pub world: mpsc::Sender<Told>,
+}
+
+struct Load {
+    target: Target,
+    idle: RefCell<Vec<Client>>,
+    results: RefCell<Vec<ClassResult>>,
+}
+
+/// Sends what is planned and waits for all answers.
+pub async fn run(target: Target, plan: Vec<Planned>) -> Vec<ClassResult> {
+    let results = target.spec.classes.iter().map(|class| ClassResult::new(class.name)).collect();
+    let load = Rc::new(Load { target, idle: RefCell::default(), results: RefCell::new(results) });
+    let local = LocalSet::new();
+    local.run_until(send_all(Rc::clone(&load), plan)).await;
+    let results = load.results.borrow().clone();
+    results
+}
+
+async fn send_all(load: Rc<Load>, plan: Vec<Planned>) {
+    let start = Instant::now();
+    let mut open = JoinSet::new();
+    for planned in plan {
+        let at = start + Duration::from_micros(planned.at as u64);
+        sleep_until(at).await;
+        while open.try_join_next().is_some() {}
+        let load = Rc::clone(&load);
+        open.spawn_local(async move { load.one(planned, at).await });
+    }
+    while open.join_next().await.is_some() {}
+}
+
+impl Load {
+    async fn one(&self, planned: Planned, at: Instant) {
+        let Target { spec, clock, world, .. } = &self.target;
+        let class = planned.class;
+        let patience = Duration::from_micros(spec.classes[class].deadline as u64);
+        self.results.borrow_mut()[class].offered += 1;
+        let until = clock.now() + patience.as_micros() as Micros;
+        let (id, session) = (planned.id.clone(), planned.session.clone());
+        let _ = world.send(Told::Asked { id, session, until }).await;
+        let answer = timeout(patience + PATIENCE, self.ask(&planned, patience)).await;
+        let told = match &answer {
+            Ok(Ok(Answer::Served(value))) => {
+                let writes = spec.classes[class].freshness == Freshness::Write;
+                let wrote = writes.then(|| planned.session.clone());
+                Told::Answered { id: planned.id, value: Some(value.clone()), wrote }
+            }
+            Ok(Ok(_)) => Told::Answered { id: planned.id, value: None, wrote: None },
+            _ => Told::Lost(planned.id),
+        };
+        let _ = world.send(told).await;
+        self.count(class, at.elapsed(), answer.ok().and_then(Result::ok));
+    }
+
+    async fn ask(&self, planned: &Planned, patience: Duration) -> io::Result<Answer> {
+        let Target { wire, address, spec, .. } = &self.target;
+        let idle = self.idle.borrow_mut().pop();
+        let mut client = match idle {
+            Some(client) => client,
+            None => Client::connect(*wire, *address).await?,
+        };
+        let answer = client.ask(planned, spec, patience.as_micros() as Micros).await?;
+        self.idle.borrow_mut().push(client);
+        Ok(answer)
+    }
+
+    fn count(&self, class: usize, latency: Duration, answer: Option<Answer>) {
+        let aim = self.target.spec.classes[class].aim;
+        let mut results = self.results.borrow_mut();
+        let result = &mut results[class];
+        match answer {
+            Some(Answer::Served(_)) => {
+                result.served += 1;
+                result.in_time += u64::from(latency.as_micros() as Micros <= aim);
+                result.latency.saturating_record(latency.as_micros() as u64);
+            }
+            Some(Answer::Refused(_)) => result.refused += 1,
+            Some(Answer::Failed(_)) | None => result.failed += 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,7 @@
+//! The laboratory of wheelpier: see the library.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    wheelpier_lab::main()
+}
--- /dev/null
+++ b/crates/lab/src/parity.rs
@@ -0,0 +1,143 @@
+//! The same arrivals and troubles over PostgreSQL and over TDS, side by side: they have to fare alike.
+
+use crate::load::{self, ClassResult, Target};
+use crate::rig::Rig;
+use crate::{runtime, table, LabError};
+use std::rc::Rc;
+use std::thread;
+use wheelpier_standin::net::{Options, Verdict, Wire};
+use wheelpier_standin::schedule::plan;
+use wheelpier_standin::script::Script;
+use wheelpier_standin::spec::Spec;
+use wheelpier_standin::SECOND;
+
+/// They fare alike if no figure differs by more than this, in per cent.
+const ALIKE: f64 = 5.0;
+
+/// What is compared and how long.
+#[derive(Debug, clap::Args)]
+pub struct Parity {
+    /// Arrivals, troubles and the world are drawn from it.
+    #[arg(long, default_value_t = 7)]
+    seed: u64,
+    /// Seconds of load.
+    #[arg(long, default_value_t = 30.0)]
+    seconds: f64,
+    /// Requests a second, over each protocol.
+    #[arg(long, default_value_t = 2_400.0)]
+    rate: f64,
+    /// Ledger sets, of five hosts each.
+    #[arg(long, default_value_t = 24)]
+    sets: usize,
+    /// PostgreSQL on both sides: how much two runs of the same differ.
+    #[arg(long)]
+    control: bool,
+    /// No troubles.
+    #[arg(long)]
+    calm: bool,
+}
+
+struct Outcome {
+    wire: Wire,
+    classes: Vec<ClassResult>,
+    verdict: Verdict,
+}
+
+impl Parity {
+    /// Whether they fare alike and no rule is broken.
+    pub fn run(&self) -> Result<bool, LabError> {
+        let one = |wire| {
+            let options = self.options(wire);
+            let (seed, rate, seconds) = (self.seed, self.rate, self.seconds);
+            thread::spawn(move || runtime()?.block_on(play(options, wire, seed, rate, seconds)))
+        };
+        // Side by side, so that what else the machine does weighs on both.
+        let other = if self.control { Wire::Postgres } else { Wire::Tds };
+        let running = [Wire::Postgres, other].map(one);
+        let mut outcomes = Vec::with_capacity(running.len());
+        for thread in running {
+            outcomes.push(thread.join().map_err(|_| LabError::Ended)??);
+        }
+        Ok(report(&outcomes))
+    }
+
+    fn options(&self, wire: Wire) -> Options {
+        let spec = Spec { groups: self.sets, ..Spec::sapporo() };
+        let script = match self.calm {
+            true => Script::calm(),
+            false => Script::parity(self.seconds, spec.members),
+        };
+        Options { spec, seed: self.seed, wires: vec![wire], script }
+    }
+}
+
+async fn play(options: Options, wire: Wire, seed: u64, rate: f64, seconds: f64) -> Result<Outcome, LabError> {
+    let spec = Rc::new(options.spec.clone());
+    let rig = Rig::start(options, rate).await?;
+    let plan = plan(&spec, seed, rate, (seconds * SECOND as f64) as i64);
+    let (world, clock, address) = (rig.installation.mailbox(), rig.clock, rig.port(wire)?);
+    rig.installation.begin().await;
+    let classes = load::run(Target { wire, address, spec, clock, world }, plan).await;
+    let verdict = rig.installation.verdict().await;
+    rig.proxy.end().await?;
+    Ok(Outcome { wire, classes, verdict })
+}
+
+/// What of a class is compared: the share that is served, p50 and p99. What lies beyond p99 are the few requests that a takeover
+/// caught: shown, but two runs of the same protocol differ there as much as two protocols do (`--control`).
+fn figures(class: &ClassResult) -> [f64; 3] {
+    let share = 100.0 * class.served as f64 / class.offered.max(1) as f64;
+    [share, class.percentile(50.0), class.percentile(99.0)]
+}
+
+/// By how much the second differs from the first, in per cent of the first.
+fn difference(first: f64, second: f64) -> f64 {
+    if first == second {
+        0.0
+    } else {
+        100.0 * (second - first).abs() / first.abs().max(f64::EPSILON)
+    }
+}
+
+fn report(outcomes: &[Outcome]) -> bool {
+    let [first, second] = outcomes else { return false };
+    let mut rows = Vec::new();
+    let mut worst = 0.0_f64;
+    for (one, other) in first.classes.iter().zip(&second.classes) {
+        for (outcome, class) in [(first, one), (second, other)] {
+            rows.push(vec![
+                class.name.to_owned(),
+                outcome.wire.to_string(),
+                class.offered.to_string(),
+                class.served.to_string(),
+                class.refused.to_string(),
+                class.failed.to_string(),
+                format!("{:.1}", class.percentile(50.0)),
+                format!("{:.1}", class.percentile(99.0)),
+                format!("{:.0}", class.percentile(99.9)),
+            ]);
+        }
+        for (one, other) in figures(one).into_iter().zip(figures(other)) {
+            worst = worst.max(difference(one, other));
+        }
+    }
+    let head = ["class", "over", "offered", "served", "refused", "failed", "p50 ms", "p99 ms", "p99.9 ms"];
+    println!("{}", table::lay_out(&head, &rows));
+    let mut rules = Vec::new();
+    let mut broken = 0;
+    for (one, other) in first.verdict.rules.iter().zip(&second.verdict.rules) {
+        broken += one.2 + other.2;
+        let cells = [one.1.to_string(), one.2.to_string(), other.1.to_string(), other.2.to_string()];
+        rules.push([vec![one.0.to_string()], cells.to_vec()].concat());
+    }
+    let tried = [first, second].map(|outcome| format!("{}: tried", outcome.wire));
+    let head = ["rule", &tried[0], "broken", &tried[1], "broken"];
+    println!("{}", table::lay_out(&head, &rules));
+    for outcome in outcomes {
+        for breach in outcome.verdict.breaches.iter().take(5) {
+            println!("{}: {}: {}", outcome.wire, breach.rule, breach.what);
+        }
+    }
+    println!("parity: worst difference {worst:.1}%, rules broken {broken}");
+    worst <= ALIKE && broken == 0
+}
--- /dev/null
+++ b/crates/lab/src/rig.rs
@@ -0,0 +1,92 @@
+//! An installation with a proxy before it: the proxy on a thread of its own, as in service, everything else on
+//! another.
+
+use crate::{runtime, LabError};
+use serde_json::json;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use tokio::sync::{mpsc, oneshot};
+use wheelpier::config::{Config, Operator};
+use wheelpier::counters::Counters;
+use wheelpier::net::{Control, Proxy};
+use wheelpier::protocol::Protocol;
+use wheelpier_standin::net::{Clock, Installation, Options, Wire};
+
+/// What the proxy of an experiment is given.
+const MEMORY_MB: u32 = 192;
+const SOCKETS: u32 = 1_024;
+
+/// What a proxy's ports speak beside PostgreSQL, and its hosts where they speak TDS.
+const OPERATOR: &str = "
+hosts: {types: {std-5core-tds: tds}}
+listeners: [{protocol: tds, address: '127.0.0.1:0'}]
+";
+
+pub struct Rig {
+    pub clock: Clock,
+    pub installation: Installation,
+    pub proxy: ProxyThread,
+}
+
+/// A proxy that serves on a thread of its own.
+pub struct ProxyThread {
+    pub addresses: Vec<(Protocol, SocketAddr)>,
+    pub counters: Arc<Counters>,
+    control: mpsc::Sender<Control>,
+    thread: JoinHandle<std::io::Result<()>>,
+}
+
+impl Rig {
+    /// Starts both; the proxy listens for both protocols. `rate` is what it has to expect, a second.
+    pub async fn start(options: Options, rate: f64) -> Result<Self, LabError> {
+        let (spec, seed) = (options.spec.clone(), options.seed);
+        let clock = Clock::start();
+        let installation = Installation::start(options, clock).await?;
+        let config = json!({
+            "name": "lab", "listen": "127.0.0.1:0", "discovery": installation.discovery.to_string(),
+            "seed": format!("{seed:x}"), "known": installation.known, "settings": spec.settings(rate),
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
+        });
+        let operator = Operator::read(OPERATOR, "the lab's own")?;
+        let config = Config::read(&config.to_string(), |_| None)?.with_operator(operator);
+        let proxy = ProxyThread::start(config).await?;
+        Ok(Self { clock, installation, proxy })
+    }
+
+    /// Where clients of a protocol connect.
+    pub fn port(&self, wire: Wire) -> Result<SocketAddr, LabError> {
+        let protocol = match wire {
+            Wire::Postgres => Protocol::Postgres,
+            Wire::Tds => Protocol::Tds,
+        };
+        let found = self.proxy.addresses.iter().find(|(other, _)| *other == protocol);
+        found.map(|(_, address)| *address).ok_or(LabError::Ended)
+    }
+}
+
+impl ProxyThread {
+    async fn start(config: Config) -> Result<Self, LabError> {
+        let (control, asked) = mpsc::channel(4);
+        let (bound, started) = oneshot::channel();
+        let thread = std::thread::spawn(move || {
+            runtime()?.block_on(async {
+                let proxy = Proxy::bind(config).await?;
+                let _ = bound.send((proxy.addresses()?, proxy.counters()));
+                proxy.serve(asked).await
+            })
+        });
+        let (addresses, counters) = started.await.map_err(|_| LabError::Ended)?;
+        Ok(Self { addresses, counters, control, thread })
+    }
+
+    /// Lets it drain and end.
+    pub async fn end(self) -> Result<(), LabError> {
+        let _ = self.control.send(Control::Drain).await;
+        let ended = tokio::task::spawn_blocking(move || self.thread.join()).await;
+        match ended {
+            Ok(Ok(ended)) => Ok(ended?),
+            _ => Err(LabError::Ended),
+        }
+    }
+}
--- a/crates/pgwire/src/backend.rs
+++ b/crates/pgwire/src/backend.rs
@@ -41,6 +41,8 @@
     pub code: &'a str,
     /// The message.
     pub message: &'a str,
+    /// The detail.
+    pub detail: &'a str,
     /// Whether the connection ends with it.
     pub fatal: bool,
 }
@@ -124,6 +126,7 @@
         match kind {
             b'C' => fields.code = value,
             b'M' => fields.message = value,
+            b'D' => fields.detail = value,
             b'S' | b'V' => fields.fatal |= matches!(value, "FATAL" | "PANIC"),
             _ => {}
         }
--- a/crates/pgwire/src/statement.rs
+++ b/crates/pgwire/src/statement.rs
@@ -35,8 +35,8 @@
     pub wait_ms: f64,
     /// Whether the client marks this as a retry.
     pub again: bool,
-    /// Whether it holds an idempotency key.
-    pub keyed: bool,
+    /// The idempotency key, in a keyed class.
+    pub key: Option<String>,
     /// The group of hosts that hold the data.
     pub group: u32,
     /// When the session's last write was committed, in Unix milliseconds.
@@ -104,7 +104,7 @@
             tenant: word("t")?,
             wait_ms: number("d", needed("d")?)?,
             again: value("r") == Some("1"),
-            keyed: find("k").map(|_| word("k")).transpose()?.is_some(),
+            key: find("k").map(|_| word("k")).transpose()?,
             group: group.ok_or(StatementError::Value("cluster"))?,
             after_ms: value("after").map(|text| number("after", text)).transpose()?,
             wait_at: find("d").map(|(_, _, place)| place.clone()).ok_or(StatementError::Lacks("d"))?,
--- /dev/null
+++ b/crates/standin/src/net/actor.rs
@@ -0,0 +1,231 @@
+//! The world's actor: it alone owns the world and the checker, and what the script has left.
+
+use super::discovery::Roster;
+use super::{Clock, Verdict};
+use crate::checker::{Checker, RULES};
+use crate::host::State;
+use crate::script::Script;
+use crate::world::{Effect, Query, Reply, Status, Ticket, World};
+use crate::Micros;
+use std::collections::HashMap;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::sleep_until;
+
+/// What the world's actor is told.
+#[derive(Debug)]
+pub enum Told {
+    /// The script's time begins.
+    Begin,
+    /// Somebody connects to a host; no answer is one that says nothing.
+    Greet(usize, oneshot::Sender<()>),
+    /// A request has come to a host.
+    Query(usize, Ticket, Query, oneshot::Sender<Reply>),
+    /// An attempt's connection is gone.
+    Cancel(Ticket),
+    /// A host is asked for its load report.
+    Load(usize, oneshot::Sender<String>),
+    /// Discovery has written a host's status to a proxy.
+    Written(usize, Status),
+    /// A client is about to send a request of a session, whose answer it awaits until then.
+    Asked {
+        /// The request.
+        id: String,
+        /// Its session.
+        session: String,
+        /// When it stops waiting.
+        until: Micros,
+    },
+    /// A client has its answer: the value, if it was served one, and the session that has written, if it has.
+    Answered {
+        /// The request.
+        id: String,
+        /// The value.
+        value: Option<Vec<u8>>,
+        /// The session that has to see this write from now on.
+        wrote: Option<String>,
+    },
+    /// A client's connection has ended without an answer.
+    Lost(String),
+    /// How the rules fared, once nothing more comes.
+    Judge(oneshot::Sender<Verdict>),
+}
+
+/// An attempt that a host has not answered yet.
+struct Open {
+    id: String,
+    host: usize,
+    came: Micros,
+    answer: oneshot::Sender<Reply>,
+}
+
+pub(super) struct Actor {
+    world: World,
+    checker: Checker,
+    script: Script,
+    clock: Clock,
+    began: Option<Micros>,
+    /// Whether each host takes connections.
+    links: Vec<watch::Sender<bool>>,
+    roster: watch::Sender<Roster>,
+    open: HashMap<Ticket, Open>,
+    /// The commit of each write that has been answered by a host, until its client has it.
+    commits: HashMap<String, Micros>,
+    attempts: u64,
+}
+
+impl Actor {
+    pub fn new(
+        world: World,
+        script: Script,
+        clock: Clock,
+        links: Vec<watch::Sender<bool>>,
+        roster: watch::Sender<Roster>,
+    ) -> Self {
+        Self {
+            world,
+            checker: Checker::default(),
+            script,
+            clock,
+            began: None,
+            links,
+            roster,
+            open: HashMap::new(),
+            commits: HashMap::new(),
+            attempts: 0,
+        }
+    }
+
+    pub async fn run(mut self, mut mailbox: mpsc::Receiver<Told>, mut ends: watch::Receiver<()>) {
+        loop {
+            let due = [self.world.next(), self.began.zip(self.script.next()).map(|(b, at)| b + at)];
+            let due = due.into_iter().flatten().min().map(|at| self.clock.instant(at));
+            let wait = async {
+                match due {
+                    Some(at) => sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                told = mailbox.recv() => match told {
+                    Some(told) => self.told(told),
+                    None => return,
+                },
+                () = wait => self.advance(),
+                Err(_) = ends.changed() => return,
+            }
+        }
+    }
+
+    fn advance(&mut self) {
+        let now = self.clock.now();
+        let effects = self.world.advance(now);
+        self.carry_out(effects);
+        while let Some(trouble) = self.began.and_then(|began| self.script.due(now - began)) {
+            let effects = self.world.trouble(now, &trouble);
+            self.carry_out(effects);
+        }
+    }
+
+    fn told(&mut self, told: Told) {
+        // What was due before comes first.
+        self.advance();
+        let now = self.clock.now();
+        match told {
+            Told::Begin => self.began = Some(now),
+            Told::Greet(host, answer) => {
+                if matches!(self.world.state(host), State::Up | State::Draining) {
+                    let _ = answer.send(());
+                }
+            }
+            Told::Load(host, answer) => {
+                if matches!(self.world.state(host), State::Up | State::Draining) {
+                    self.checker.told_role(now, host, self.world.is_primary(host));
+                    let _ = answer.send(self.world.report(host, now));
+                }
+            }
+            Told::Query(host, ticket, query, answer) => {
+                self.attempts += 1;
+                self.checker.sent(now, host, &query.id);
+                if self.world.warmth(host, now) < 1.0 {
+                    self.checker.stood();
+                }
+                if self.world.is_primary(host) {
+                    self.checker.leads(host);
+                }
+                self.open.insert(ticket, Open { id: query.id.clone(), host, came: now, answer });
+                let effects = self.world.arrive(now, ticket, host, query);
+                self.carry_out(effects);
+            }
+            Told::Cancel(ticket) => {
+                self.open.remove(&ticket);
+                self.world.cancel(ticket);
+            }
+            Told::Written(host, status) => self.checker.told(now, host, status),
+            Told::Asked { id, session, until } => {
+                self.world.ask(&id, &session);
+                self.checker.asked(&id, until);
+            }
+            Told::Answered { id, value, wrote } => {
+                self.world.answered(&id);
+                let made = World::content(&id);
+                self.checker.answered(now, &id, value.as_deref().map(|value| (value, made.as_str())));
+                if let Some((session, commit)) = wrote.zip(self.commits.remove(&id)) {
+                    self.world.acknowledge(&session, commit);
+                }
+            }
+            Told::Lost(id) => {
+                self.world.answered(&id);
+                self.checker.lost(&id);
+            }
+            Told::Judge(answer) => {
+                self.checker.end();
+                let _ = answer.send(self.verdict());
+            }
+        }
+    }
+
+    fn carry_out(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Reply(ticket, reply) => self.reply(ticket, reply),
+                Effect::Breaks(host) => {
+                    self.links[host].send_replace(false);
+                }
+                Effect::Returns(host) => {
+                    self.links[host].send_replace(true);
+                }
+                Effect::Roster(host, status, since) => {
+                    self.roster.send_modify(|roster| roster.change(host, status, since));
+                }
+                Effect::Fell(host) => self.checker.fell(host),
+                Effect::Doubled(key) => self.checker.doubled(&key),
+            }
+        }
+    }
+
+    fn reply(&mut self, ticket: Ticket, reply: Reply) {
+        let Some(Open { id, host, came, answer }) = self.open.remove(&ticket) else { return };
+        self.checker.replied(host, came, &id, &reply);
+        if let Reply::Served { primary, .. } = &reply {
+            self.checker.told_role(self.clock.now(), host, *primary);
+        }
+        if let Reply::Served { position, needed: None, .. } = &reply {
+            self.commits.insert(id, *position);
+        }
+        let _ = answer.send(reply);
+    }
+
+    fn verdict(&self) -> Verdict {
+        let rule = |rule| {
+            let (tried, broken) = self.checker.verdict(rule);
+            (rule, tried, broken)
+        };
+        let groups = self.world.spec().groups;
+        Verdict {
+            rules: RULES.into_iter().map(rule).collect(),
+            breaches: self.checker.breaches().to_vec(),
+            attempts: self.attempts,
+            keys: (0..groups).map(|group| self.world.keys(group).len()).sum(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/net/postgres.rs
@@ -0,0 +1,87 @@
+//! A host's side of PostgreSQL's protocol 3.
+
+use super::front::{Front, Heard};
+use crate::replication::told;
+use crate::world::Reply;
+use bytes::BytesMut;
+use wheelpier_pgwire::{
+    command_complete, empty_query, error, parameter, ready, row, welcome, FrontendMessage, Startup,
+};
+
+#[derive(Debug, Default)]
+pub(super) struct Postgres {
+    open: bool,
+    /// What is answered without an effect: an empty query, or a command by its tag.
+    tag: Option<&'static str>,
+}
+
+impl Front for Postgres {
+    fn hear(&mut self, read: &mut BytesMut, out: &mut BytesMut) -> Result<Option<Heard>, ()> {
+        if !self.open {
+            let Some((startup, length)) = Startup::parse(read).map_err(drop)? else { return Ok(None) };
+            let _ = read.split_to(length);
+            return match startup {
+                Startup::Session { minor } => {
+                    welcome(out, minor, (1, 1));
+                    self.open = true;
+                    Ok(Some(Heard::Greeting))
+                }
+                Startup::Encryption => {
+                    out.extend_from_slice(b"N");
+                    Ok(Some(Heard::Greeting))
+                }
+                Startup::Cancel | Startup::Unsupported => Err(()),
+            };
+        }
+        let Some((message, length)) = FrontendMessage::parse(read).map_err(drop)? else { return Ok(None) };
+        let heard = match message {
+            FrontendMessage::Query(text) => {
+                let text = std::str::from_utf8(text).map_err(drop)?.trim();
+                self.tag = ["SET", "RESET", "DISCARD"].into_iter().find(|tag| text.starts_with(tag));
+                match text {
+                    "" => Heard::Nothing,
+                    "SHOW load" => Heard::Load,
+                    _ if self.tag.is_some() => Heard::Nothing,
+                    _ => Heard::Statement(text.to_owned()),
+                }
+            }
+            FrontendMessage::Terminate => Heard::Leaves,
+            _ => return Err(()),
+        };
+        let _ = read.split_to(length);
+        Ok(Some(heard))
+    }
+
+    fn reply(&mut self, reply: &Reply, out: &mut BytesMut) {
+        match reply {
+            Reply::Served { content, position, primary, needed } => {
+                row(out, "content", content.as_bytes());
+                parameter(out, "role", if *primary { "primary" } else { "replica" });
+                parameter(out, "applied_ms", &told(*position, needed.is_none()).to_string());
+            }
+            Reply::ReadOnly => error(out, "ERROR", "25006", "this is no primary", None),
+            Reply::Behind => error(out, "ERROR", "72000", "too far behind", None),
+            Reply::Full => error(out, "ERROR", "53300", "no room", None),
+            Reply::Error => error(out, "ERROR", "XX000", "failed", None),
+        }
+        ready(out);
+    }
+
+    fn text(&mut self, text: &str, out: &mut BytesMut) {
+        row(out, "load", text.as_bytes());
+        ready(out);
+    }
+
+    fn nothing(&mut self, out: &mut BytesMut) {
+        match self.tag.take() {
+            Some(tag) => command_complete(out, tag),
+            None => empty_query(out),
+        }
+        ready(out);
+    }
+
+    fn unknown(&mut self, out: &mut BytesMut) {
+        error(out, "ERROR", "42601", "not served", None);
+        ready(out);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/net/tds.rs
@@ -0,0 +1,158 @@
+//! A host's side of TDS 7.4.
+
+use super::front::{Front, Heard};
+use crate::replication::told;
+use crate::world::Reply;
+use bytes::{Bytes, BytesMut};
+use wheelpier_tds::{
+    batch, numbers, put_columns, put_done, put_environment, put_error, put_info, put_login_ack, put_message,
+    put_return_status, put_row, rpc, version, Assembler, Column, DataType, Done, DoneKind, Environment,
+    Login, LoginAck, Message, Notice, PacketType, Prelogin, Rpc, Status, Value, PACKET_SIZE, PACKET_SIZES,
+};
+
+/// The longest request: a value of 64 KiB in digits, two bytes each.
+const MOST: usize = 300 * 1024;
+
+pub(super) struct Tds {
+    assembler: Assembler,
+    packet: usize,
+    logged_in: bool,
+    call: bool,
+}
+
+impl Default for Tds {
+    fn default() -> Self {
+        Self { assembler: Assembler::new(MOST), packet: PACKET_SIZE, logged_in: false, call: false }
+    }
+}
+
+impl Tds {
+    fn put(&self, payload: &[u8], out: &mut BytesMut) {
+        put_message(out, PacketType::Result, Status::default(), payload, self.packet);
+    }
+
+    fn greet(&mut self, message: &Message, out: &mut BytesMut) -> Result<(), ()> {
+        let mut payload = BytesMut::new();
+        match message.kind {
+            PacketType::Prelogin => {
+                Prelogin::parse(&message.payload).map_err(drop)?;
+                Prelogin { version: (15, 0, 0), ..Prelogin::default() }.put(&mut payload);
+                self.put(&payload, out);
+            }
+            PacketType::Login => {
+                let login = Login::parse(&message.payload).map_err(drop)?;
+                let size = (login.packet_size as usize).clamp(PACKET_SIZES.0, PACKET_SIZES.1);
+                put_environment(&mut payload, &Environment::PacketSize(size));
+                let program = "wheelpier-standin".to_owned();
+                put_login_ack(&mut payload, &LoginAck { version: version::V7_4, program });
+                put_done(&mut payload, DoneKind::Batch, Done::default());
+                self.put(&payload, out);
+                self.packet = size;
+                self.assembler.agree(size);
+                self.logged_in = true;
+            }
+            _ => return Err(()),
+        }
+        Ok(())
+    }
+
+    fn finish(&mut self, mut payload: BytesMut, done: Done, out: &mut BytesMut) {
+        if self.call {
+            put_done(&mut payload, DoneKind::InProc, Done { more: true, ..done });
+            put_return_status(&mut payload, i32::from(done.error));
+            put_done(&mut payload, DoneKind::Proc, Done { error: done.error, ..Done::default() });
+        } else {
+            put_done(&mut payload, DoneKind::Batch, done);
+        }
+        self.put(&payload, out);
+    }
+
+    fn row(&mut self, value: Bytes, stamp: Option<String>, out: &mut BytesMut) {
+        let columns = [Column { name: "content".to_owned(), kind: DataType::LongBinary }];
+        let mut payload = BytesMut::new();
+        put_columns(&mut payload, &columns);
+        put_row(&mut payload, &columns, &[Value::Binary(value)]);
+        if let Some(message) = stamp {
+            put_info(&mut payload, &Notice { number: numbers::STAMP, state: 1, class: 0, message });
+        }
+        self.finish(payload, Done { counted: true, rows: 1, ..Done::default() }, out);
+    }
+
+    fn error(&mut self, number: i32, message: &str, out: &mut BytesMut) {
+        let mut payload = BytesMut::new();
+        put_error(&mut payload, &Notice { number, state: 1, class: 16, message: message.to_owned() });
+        self.finish(payload, Done { error: true, ..Done::default() }, out);
+    }
+}
+
+/// A call's statement with its value in its place, as protocol 3 has it.
+fn called(call: &Rpc) -> Option<String> {
+    let text = |n: usize| match call.parameters.get(n).map(|parameter| &parameter.value) {
+        Some(Value::Text(text)) => Some(text.clone()),
+        _ => None,
+    };
+    let mut statement = text(0).filter(|_| call.executes_sql())?;
+    for parameter in call.parameters.iter().skip(2) {
+        let literal = match &parameter.value {
+            Value::Text(text) => format!("'{text}'"),
+            Value::Binary(bytes) => {
+                let digits: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+                format!("'\\x{digits}'")
+            }
+            _ => return None,
+        };
+        statement = statement.replacen(&parameter.name, &literal, 1);
+    }
+    Some(statement)
+}
+
+impl Front for Tds {
+    fn hear(&mut self, read: &mut BytesMut, out: &mut BytesMut) -> Result<Option<Heard>, ()> {
+        let Some(message) = self.assembler.next(read).map_err(drop)? else { return Ok(None) };
+        if !self.logged_in {
+            self.greet(&message, out)?;
+            return Ok(Some(Heard::Greeting));
+        }
+        self.call = message.kind == PacketType::Rpc;
+        let text = match message.kind {
+            PacketType::SqlBatch => batch(&message.payload).map_err(drop)?,
+            PacketType::Rpc => match called(&rpc(&message.payload).map_err(drop)?) {
+                Some(text) => text,
+                None => return Ok(Some(Heard::Unknown)),
+            },
+            _ => return Err(()),
+        };
+        Ok(Some(match text.trim() {
+            "" => Heard::Nothing,
+            "SHOW load" => Heard::Load,
+            text if text.starts_with("SET ") => Heard::Nothing,
+            text => Heard::Statement(text.to_owned()),
+        }))
+    }
+
+    fn reply(&mut self, reply: &Reply, out: &mut BytesMut) {
+        match reply {
+            Reply::Served { content, position, primary, needed } => {
+                let role = if *primary { "primary" } else { "replica" };
+                let stamp = format!("role={role} applied_ms={}", told(*position, needed.is_none()));
+                self.row(content.clone().into(), Some(stamp), out);
+            }
+            Reply::ReadOnly => self.error(numbers::READ_ONLY, "this is no primary", out),
+            Reply::Behind => self.error(numbers::BEHIND, "too far behind", out),
+            Reply::Full => self.error(numbers::RESOURCES, "no room", out),
+            Reply::Error => self.error(numbers::HOST_ERROR, "failed", out),
+        }
+    }
+
+    fn text(&mut self, text: &str, out: &mut BytesMut) {
+        self.row(text.to_owned().into(), None, out);
+    }
+
+    fn nothing(&mut self, out: &mut BytesMut) {
+        self.finish(BytesMut::new(), Done::default(), out);
+    }
+
+    fn unknown(&mut self, out: &mut BytesMut) {
+        self.error(numbers::SYNTAX, "not served", out);
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/world.rs
@@ -0,0 +1,225 @@
+//! The world by itself, and the checker with planted faults: each rule can be seen to break.
+
+use rstest::rstest;
+use wheelpier_standin::checker::{Checker, Rule};
+use wheelpier_standin::schedule::plan;
+use wheelpier_standin::script::Script;
+use wheelpier_standin::spec::{Spec, WhenBehind};
+use wheelpier_standin::world::{Effect, Query, Reply, Status, Trouble, World};
+use wheelpier_standin::{Micros, MS, SECOND};
+
+const START: Micros = 1_000_000 * SECOND;
+
+fn world() -> World {
+    World::new(Spec::sapporo(), 7, START)
+}
+
+fn query(id: &str, class: &str) -> Query {
+    let key = (class == "sale-write").then(|| format!("key of {id}"));
+    let class = Spec::sapporo().class(class).unwrap();
+    Query { id: id.to_owned(), class, session: "s".to_owned(), key, until: START + 100 * SECOND }
+}
+
+/// The reply to a ticket among effects.
+fn reply(effects: &[Effect], ticket: u64) -> Option<&Reply> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Reply(of, reply) if *of == ticket => Some(reply),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_request_takes_its_work_and_the_same_each_time() {
+    let took = |host| {
+        let mut world = world();
+        assert_eq!(world.arrive(START, 1, host, query("a", "price-lookup")), []);
+        let done = world.next().unwrap();
+        assert!(matches!(reply(&world.advance(done), 1), Some(Reply::Served { .. })));
+        done - START
+    };
+    assert!((44 * MS..=77 * MS).contains(&took(0)));
+    assert_eq!(took(0), took(3));
+}
+
+#[test]
+fn cores_and_queue_bound_what_a_host_holds() {
+    let mut world = world();
+    let room = (world.spec().cores + world.spec().queue) as u64;
+    for ticket in 0..room {
+        assert_eq!(world.arrive(START, ticket, 1, query(&ticket.to_string(), "daily-report")), []);
+    }
+    let full = world.arrive(START, room, 1, query("last", "daily-report"));
+    assert_eq!(reply(&full, room), Some(&Reply::Full));
+    assert_eq!(world.advance(START + 100 * SECOND).len() as u64, room);
+}
+
+#[test]
+fn only_the_primary_takes_writes_and_drops_repeats_in_the_window() {
+    let mut world = world();
+    let turned_away = world.arrive(START, 1, 1, query("w", "sale-write"));
+    assert_eq!(reply(&turned_away, 1), Some(&Reply::ReadOnly));
+    let mut commits = Vec::new();
+    for (ticket, after) in [(2, 0), (3, 2 * SECOND), (4, 4 * SECOND)] {
+        world.arrive(START + after, ticket, 0, query("w", "sale-write"));
+        let effects = world.advance(START + after + SECOND);
+        let Some(Reply::Served { position, .. }) = reply(&effects, ticket) else { panic!("not served") };
+        commits.push(*position);
+        // Outside the window it is recorded again, and that is told.
+        let doubled = effects.iter().any(|effect| matches!(effect, Effect::Doubled(_)));
+        assert_eq!(doubled, ticket == 4);
+    }
+    assert_eq!(commits[0], commits[1]);
+    assert_eq!((world.keys(0).len(), world.keys(0).doubled()), (1, 1));
+}
+
+#[test]
+fn a_dead_primary_is_replaced_and_comes_back_cold_as_a_replica() {
+    let mut world = world();
+    let effects = world.trouble(START, &Trouble::Death { host: 0, span: 10 * SECOND });
+    assert_eq!(effects, [Effect::Breaks(0)]);
+    world.advance(START + 100 * MS);
+    // Nobody goes on while there is no primary.
+    let stands = world.position(1, START + 200 * MS);
+    assert_eq!(world.position(1, START + SECOND), stands);
+    assert!(!(0..5).any(|host| world.is_primary(host)));
+    let effects = world.advance(START + 11 * SECOND);
+    assert!(effects.contains(&Effect::Returns(0)));
+    assert!(!world.is_primary(0) && (1..5).any(|host| world.is_primary(host)));
+    assert!(world.warmth(0, START + 11 * SECOND) < 0.3);
+    assert_eq!(world.warmth(0, START + 30 * SECOND), 1.0);
+}
+
+#[test]
+fn a_cold_host_that_is_sent_too_much_falls() {
+    let mut world = world();
+    world.trouble(START, &Trouble::Death { host: 1, span: SECOND });
+    world.advance(START + SECOND);
+    let mut fell = false;
+    for n in 0..400 {
+        let at = START + SECOND + n * 5 * MS;
+        world.advance(at);
+        let effects = world.arrive(at, n as u64, 1, query(&n.to_string(), "daily-report"));
+        fell |= effects.contains(&Effect::Fell(1));
+    }
+    assert!(fell);
+}
+
+#[test]
+fn a_lagging_replica_falls_behind_and_catches_up() {
+    let mut world = world();
+    world.trouble(START, &Trouble::Lag { host: 2, times: 12.0, span: 5 * SECOND });
+    let lag = |world: &World, at: Micros| START + at - world.position(2, START + at);
+    world.advance(START + 5 * SECOND - 1);
+    let behind = lag(&world, 5 * SECOND - 1);
+    assert!(behind > 2 * SECOND, "{behind}");
+    world.advance(START + 30 * SECOND);
+    assert!(lag(&world, 30 * SECOND) < 20 * MS);
+}
+
+#[test]
+fn a_read_too_far_ahead_waits_and_is_turned_away_where_hosts_do_so() {
+    let spec = Spec { when_behind: WhenBehind::Wait(20 * MS), ..Spec::sapporo() };
+    let mut world = World::new(spec, 7, START);
+    world.trouble(START, &Trouble::Lag { host: 1, times: 1e6, span: 100 * SECOND });
+    world.acknowledge("s", START + SECOND);
+    world.ask("r", "s");
+    assert_eq!(world.arrive(START + SECOND, 1, 1, query("r", "own-sales")), []);
+    let effects = world.advance(START + SECOND + 20 * MS);
+    assert_eq!(reply(&effects, 1), Some(&Reply::Behind));
+}
+
+#[test]
+fn a_hung_host_answers_nothing_and_a_draining_one_nothing_new() {
+    let mut world = world();
+    world.arrive(START, 1, 1, query("a", "daily-report"));
+    world.trouble(START, &Trouble::Drain { host: 1, span: SECOND });
+    let refused = world.arrive(START + 1, 2, 1, query("b", "daily-report"));
+    assert_eq!(reply(&refused, 2), Some(&Reply::Full));
+    assert!(reply(&world.advance(START + SECOND), 1).is_some());
+    world.trouble(START + SECOND, &Trouble::Hang { host: 2, span: SECOND });
+    world.arrive(START + SECOND, 3, 2, query("c", "daily-report"));
+    let later = world.advance(START + 100 * SECOND);
+    assert_eq!(reply(&later, 3), None);
+}
+
+#[test]
+fn the_same_seed_gives_the_same_history() {
+    let history = |seed| {
+        let spec = Spec::sapporo();
+        let mut world = World::new(spec.clone(), seed, START);
+        let mut script = Script::parity(10.0, spec.members);
+        let mut effects = Vec::new();
+        for (ticket, planned) in plan(&spec, seed, 100.0, 10 * SECOND).into_iter().enumerate() {
+            let at = START + planned.at;
+            effects.extend(world.advance(at));
+            while let Some(trouble) = script.due(planned.at) {
+                effects.extend(world.trouble(at, &trouble));
+            }
+            let host = planned.group * spec.members + ticket % spec.members;
+            let query = Query {
+                id: planned.id,
+                class: planned.class,
+                session: planned.session,
+                key: planned.key,
+                until: at + SECOND,
+            };
+            effects.extend(world.arrive(at, ticket as u64, host, query));
+        }
+        effects
+    };
+    let first = history(3);
+    assert!(first.len() > 500);
+    assert!(first == history(3) && first != history(4));
+}
+
+#[rstest]
+#[case::sent_long_after_a_drain(Rule::Drain, 1, |c: &mut Checker| {
+    c.told(START, 3, Status::Draining);
+    c.sent(START + 2 * SECOND, 3, "a");
+    c.sent(START + 3 * SECOND, 3, "b");
+})]
+#[case::back_after_a_drain(Rule::Drain, 0, |c: &mut Checker| {
+    c.told(START, 3, Status::Removed);
+    c.told(START + SECOND, 3, Status::Up);
+    c.sent(START + 9 * SECOND, 3, "a");
+})]
+#[case::pushed_over(Rule::Cold, 1, |c: &mut Checker| c.fell(1))]
+#[case::doubled(Rule::Key, 1, |c: &mut Checker| c.doubled("k"))]
+#[case::stale(Rule::Stale, 1, |c: &mut Checker| c.replied(1, START, "a", &served(START - 1, START)))]
+#[case::fresh(Rule::Stale, 0, |c: &mut Checker| c.replied(1, START, "a", &served(START, START)))]
+#[case::excused_at_one_that_led(Rule::Stale, 0, |c: &mut Checker| {
+    c.leads(1);
+    c.told_role(START, 1, false);
+    c.replied(1, START + 50 * MS, "a", &served(START - 1, START));
+})]
+#[case::not_excused_once_told(Rule::Stale, 1, |c: &mut Checker| {
+    c.leads(1);
+    c.told_role(START, 1, false);
+    c.replied(1, START + 150 * MS, "a", &served(START - 1, START));
+})]
+#[case::answered_twice(Rule::Answer, 1, |c: &mut Checker| {
+    c.asked("a", START + SECOND);
+    c.answered(START, "a", None);
+    c.answered(START, "a", None);
+})]
+#[case::answered_late(Rule::Answer, 1, |c: &mut Checker| {
+    c.asked("a", START);
+    c.answered(START + 60 * MS, "a", None);
+})]
+#[case::never_answered(Rule::Answer, 1, |c: &mut Checker| {
+    c.asked("a", START);
+    c.end();
+})]
+#[case::anothers_value(Rule::Value, 1, |c: &mut Checker| {
+    c.asked("a", START);
+    c.answered(START, "a", Some((b"value of b", "value of a")));
+})]
+fn planted_faults_are_found(#[case] rule: Rule, #[case] broken: usize, #[case] act: fn(&mut Checker)) {
+    let mut checker = Checker::default();
+    act(&mut checker);
+    assert_eq!(checker.verdict(rule).1, broken, "{:?}", checker.breaches());
+}
+
+fn served(position: Micros, needed: Micros) -> Reply {
+    Reply::Served { content: String::new(), position, primary: false, needed: Some(needed) }
+}
--- a/src/net/frontend/request.rs
+++ b/src/net/frontend/request.rs
@@ -27,7 +27,7 @@
         let problem = format!("the class `{}` {does}, the statement does not", form.name);
         return Err(Fault::Invalid(problem));
     }
-    if form.keyed && !comment.keyed {
+    if form.keyed && comment.key.is_none() {
         return Err(Fault::Syntax("the comment lacks `k`".to_owned()));
     }
     // A tenant that the settings do not name has no share of its own: the module gives it full worth.
--- a/tests/pgwire.rs
+++ b/tests/pgwire.rs
@@ -63,7 +63,7 @@
     assert_eq!((statement.key, statement.write), ("x", write));
     assert_eq!((comment.id.as_str(), comment.class.as_str()), ("1f", "basket"));
     assert_eq!((comment.tenant.as_str(), comment.group), ("acme", 2));
-    assert_eq!((comment.again, comment.keyed, comment.after_ms), (true, false, Some(17.0)));
+    assert_eq!((comment.again, comment.key.clone(), comment.after_ms), (true, None, Some(17.0)));
     assert_eq!((&text[comment.wait_at], comment.wait_ms), ("480.5", 480.5));
 }
 
