Move the decisions into a package of their own

Change: git mv of policy, interface, check and settings to crates/decisions, the module's text unchanged, and of its tests; the manifest shows that there is no runtime and no I/O. wheelpier exports what it did.

--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -3,8 +3,8 @@
 use base64::{engine::general_purpose::STANDARD, Engine};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write;
-use wheelpier::settings::{self, micros, Reading};
-use wheelpier::{
+use wheelpier_decisions::settings::{self, micros, Reading};
+use wheelpier_decisions::{
     Action, Event, HostEntry, HostId, HostState, ListKind, Outcome, Position, Reply, Report, Request,
     RequestId, Role, Router, SessionId, Time,
 };
--- a/src/check.rs
+++ b/crates/decisions/src/check.rs
@@ -3,7 +3,10 @@
 use crate::interface::{Freshness, Settings, SettingsError, Time, WhenBehind};
 
 /// Names the first setting that no router could work with.
-pub(crate) fn check(s: &Settings) -> Result<(), SettingsError> {
+///
+/// # Errors
+/// When there is one.
+pub fn check(s: &Settings) -> Result<(), SettingsError> {
     let wrong =
         |key: &str, problem: &str| Err(SettingsError { key: key.to_owned(), problem: problem.to_owned() });
     if s.routers == 0 {
--- /dev/null
+++ b/crates/decisions/src/lib.rs
@@ -0,0 +1,14 @@
+//! What wheelpier decides, apart from all sockets: no I/O, no clock and no runtime, as the manifest proves. Events and a
+//! moment go in, actions come out.
+//!
+//! [`Router`] is the module: which host, whether to retry, what is turned away.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod check;
+pub mod interface;
+mod policy;
+pub mod settings;
+
+pub use interface::*;
+pub use policy::Router;
--- a/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A router with a scripted world around it.
 #![allow(dead_code)]
 
-use wheelpier::*;
+use wheelpier_decisions::*;
 
 pub const MS: i64 = 1_000;
 
--- a/tests/failures.rs
+++ b/crates/decisions/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use wheelpier::*;
+use wheelpier_decisions::*;
 
 /// A host that turns requests away at once looks idle; without its rest it would draw the next ones too.
 #[test]
--- a/tests/legal.rs
+++ b/crates/decisions/tests/legal.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::*;
 use std::collections::BTreeMap;
-use wheelpier::*;
+use wheelpier_decisions::*;
 
 struct Dice(u64);
 
--- a/tests/ordinary.rs
+++ b/crates/decisions/tests/ordinary.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use wheelpier::*;
+use wheelpier_decisions::*;
 
 #[test]
 fn a_fresh_router_asks_by_need() {
--- a/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use wheelpier::*;
+use wheelpier_decisions::*;
 
 #[test]
 fn a_held_request_is_answered_before_its_client_leaves() {
--- a/tests/scale.rs
+++ b/crates/decisions/tests/scale.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use wheelpier::*;
+use wheelpier_decisions::*;
 
 /// Ends the first attempt of a request that was just sent.
 fn answer(world: &mut World, id: RequestId, sent: &[Action], outcome: Outcome, latency: i64) -> Vec<Action> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,17 +25,12 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-mod check;
 pub mod cli;
 pub mod config;
 pub mod counters;
-mod interface;
 pub mod listing;
 pub mod net;
 pub use wheelpier_pgwire as pgwire;
-mod policy;
 pub mod protocol;
-pub mod settings;
 
-pub use interface::*;
-pub use policy::Router;
+pub use wheelpier_decisions::*;
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -10,7 +10,7 @@
     SettingsError, Time,
 };
 use crate::listing::{Listed, Listing};
-use crate::policy::Router;
+use crate::Router;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::future::poll_fn;
 use std::sync::Arc;
