Add budgets by purpose and bounded state to the decisions

Need: memory is bounded by a number of connections only; nothing keeps slow clients from the room of sale-writes, and the module's sessions are forgotten all at once with one floor for all sets. Change: a budget tree (purposes, then classes and tenants) with reserves that are never lent, weighted max-min shares, borrowing and recall by a time, tickets that give back on drop; a plan that divides a whole; a session table in generations with a floor for each set; a timing wheel; a Space-Saving sketch; a scheduler for background work.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,10 +5,12 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod budget;
 pub mod check;
 pub mod interface;
 mod policy;
 pub mod settings;
+pub mod state;
 
 pub use interface::*;
 pub use policy::Router;
--- /dev/null
+++ b/crates/decisions/src/state/mod.rs
@@ -0,0 +1,6 @@
+//! State made for the job: what it holds is bounded, and forgetting never makes a decision wrong.
+
+pub mod background;
+pub mod heavy;
+pub mod sessions;
+pub mod wheel;
--- /dev/null
+++ b/crates/lab/benches/state.rs
@@ -0,0 +1,184 @@
+//! State made for the job against plain structures: sessions against a hash map, waits on a wheel against the
+//! library's `DelayQueue` and a heap, the sketch of heavy holders against counting all of them.
+
+use criterion::{criterion_group, criterion_main, BatchSize, BenchmarkId, Criterion, Throughput};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::future::poll_fn;
+use std::hint::black_box;
+use std::task::Poll;
+use std::time::Duration;
+use tokio_util::time::DelayQueue;
+use wheelpier_decisions::state::heavy::HeavyHitters;
+use wheelpier_decisions::state::sessions::Sessions;
+use wheelpier_decisions::state::wheel::Wheel;
+use wheelpier_decisions::{Position, SessionId, Time};
+
+const SIZES: [usize; 3] = [1_000, 100_000, 1_000_000];
+/// Operations in one measured round.
+const ROUND: usize = 1_000;
+
+fn numbers(count: usize) -> Vec<u64> {
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    (0..count).map(|_| random.next_u64()).collect()
+}
+
+fn sessions(c: &mut Criterion) {
+    let mut group = c.benchmark_group("sessions");
+    group.throughput(Throughput::Elements(ROUND as u64));
+    for size in SIZES {
+        let ids = numbers(size);
+        // Reads of known sessions, and writes of new ones that push old ones out.
+        let mut table = Sessions::new(size);
+        ids.iter().for_each(|id| table.remember(SessionId(*id), (*id % 8) as u32, Position(1)));
+        let mut next = 0;
+        group.bench_function(BenchmarkId::new("generations/read", size), |b| {
+            b.iter(|| {
+                for _ in 0..ROUND {
+                    next = (next + 7919) % size;
+                    black_box(table.token(SessionId(ids[next]), 0));
+                }
+            });
+        });
+        let mut fresh = 0u64;
+        group.bench_function(BenchmarkId::new("generations/write", size), |b| {
+            b.iter(|| {
+                for _ in 0..ROUND {
+                    fresh = fresh.wrapping_add(0x9e37_79b9_7f4a_7c15);
+                    table.remember(SessionId(fresh), (fresh % 8) as u32, Position(2));
+                }
+            });
+        });
+        let mut map: HashMap<u64, (u32, i64)> = ids.iter().map(|id| (*id, (0, 1))).collect();
+        group.bench_function(BenchmarkId::new("HashMap/read", size), |b| {
+            b.iter(|| {
+                for _ in 0..ROUND {
+                    next = (next + 7919) % size;
+                    black_box(map.get(&ids[next]));
+                }
+            });
+        });
+        // As large as before after each write: one is pushed out, whichever the caller names.
+        let mut oldest = 0;
+        group.bench_function(BenchmarkId::new("HashMap/write", size), |b| {
+            b.iter(|| {
+                for _ in 0..ROUND {
+                    fresh = fresh.wrapping_add(0x9e37_79b9_7f4a_7c15);
+                    map.insert(fresh, (0, 2));
+                    map.remove(&ids[oldest % size]);
+                    oldest += 1;
+                }
+            });
+        });
+    }
+    group.finish();
+}
+
+/// Each wait is set for up to five seconds and cancelled before it ends, as those of served requests are.
+fn waits(c: &mut Criterion) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().expect("a runtime");
+    let mut group = c.benchmark_group("waits");
+    group.throughput(Throughput::Elements(ROUND as u64));
+    group.sample_size(20);
+    for size in SIZES {
+        let spans: Vec<i64> = numbers(size + ROUND).iter().map(|n| (n % 5_000_000) as i64 + 10_000).collect();
+        group.bench_function(BenchmarkId::new("wheel/set+cancel", size), |b| {
+            let mut wheel = Wheel::new(Time(1_000), Time(0));
+            spans[..size].iter().for_each(|span| _ = wheel.set(Time(*span), 0u64));
+            b.iter(|| {
+                for span in &spans[size..] {
+                    let key = wheel.set(Time(*span), 1);
+                    black_box(wheel.cancel(key));
+                }
+            });
+        });
+        let _context = runtime.enter();
+        group.bench_function(BenchmarkId::new("DelayQueue/set+cancel", size), |b| {
+            let mut queue = DelayQueue::new();
+            let wait = |span: &i64| Duration::from_micros(*span as u64 + 3_600_000_000);
+            spans[..size].iter().for_each(|span| _ = queue.insert(0u64, wait(span)));
+            b.iter(|| {
+                for span in &spans[size..] {
+                    let key = queue.insert(1, wait(span));
+                    black_box(queue.remove(&key));
+                }
+            });
+        });
+        group.bench_function(BenchmarkId::new("BinaryHeap/set+cancel", size), |b| {
+            // Cancelled lazily: a set of the numbers that do not count any more.
+            let full: BinaryHeap<Reverse<(i64, u64)>> =
+                spans[..size].iter().enumerate().map(|(n, span)| Reverse((*span, n as u64))).collect();
+            b.iter_batched(
+                || (full.clone(), HashSet::new()),
+                |(mut heap, mut cancelled)| {
+                    for (n, span) in spans[size..].iter().enumerate() {
+                        let id = (size + n) as u64;
+                        heap.push(Reverse((*span, id)));
+                        cancelled.insert(id);
+                    }
+                    (heap, cancelled)
+                },
+                BatchSize::LargeInput,
+            );
+        });
+        group.bench_function(BenchmarkId::new("wheel/end", size), |b| {
+            let mut full = Wheel::new(Time(1_000), Time(0));
+            spans[..size].iter().for_each(|span| _ = full.set(Time(*span), 0u64));
+            b.iter_batched(
+                || full.clone(),
+                |mut wheel| {
+                    let mut ended = Vec::with_capacity(size);
+                    (1..=100).for_each(|step| wheel.advance(Time(step * 1_000), &mut ended));
+                    (wheel, ended)
+                },
+                BatchSize::LargeInput,
+            );
+        });
+        group.bench_function(BenchmarkId::new("DelayQueue/poll idle", size), |b| {
+            let mut queue = DelayQueue::new();
+            spans[..size].iter().for_each(|span| {
+                queue.insert(0u64, Duration::from_micros(*span as u64 + 3_600_000_000));
+            });
+            b.iter(|| {
+                runtime.block_on(poll_fn(|cx| {
+                    black_box(queue.poll_expired(cx).is_pending());
+                    Poll::Ready(())
+                }));
+            });
+        });
+    }
+    group.finish();
+}
+
+fn heavy(c: &mut Criterion) {
+    let mut group = c.benchmark_group("heavy holders");
+    group.throughput(Throughput::Elements(ROUND as u64));
+    for size in SIZES {
+        let ids = numbers(size);
+        let mut next = 0;
+        let mut sketch = HeavyHitters::new(64);
+        group.bench_function(BenchmarkId::new("space-saving, 64 counters", size), |b| {
+            b.iter(|| {
+                for _ in 0..ROUND {
+                    next = (next + 7919) % size;
+                    sketch.add(ids[next], 100);
+                }
+            });
+        });
+        let mut exact: HashMap<u64, u64> = HashMap::new();
+        group.bench_function(BenchmarkId::new("HashMap of all", size), |b| {
+            b.iter(|| {
+                for _ in 0..ROUND {
+                    next = (next + 7919) % size;
+                    *exact.entry(ids[next]).or_default() += 100;
+                }
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, sessions, waits, heavy);
+criterion_main!(benches);
