Account for connections, client buffers and requests by purpose, and refuse at a cap

Need: a proxy that swells dies with every open request; slow clients must not take the room of sale-writes. Change: tickets for each connection, each client's buffers (strangers' account until it has asked, then its class's and tenant's) and each open request; what is borrowed and not given back in time is taken from whoever waits for nothing but the rest of a message; memory: in the operator's file, caps in wheelpier check.

--- a/crates/decisions/src/budget/mod.rs
+++ b/crates/decisions/src/budget/mod.rs
@@ -186,6 +186,11 @@
         (tree.whole.used(), tree.peak)
     }
 
+    /// All bytes that there are.
+    pub fn cap(&self) -> u64 {
+        self.tree().whole.cap()
+    }
+
     /// When the next recall is overdue.
     pub fn next_due(&self) -> Option<Time> {
         let tree = self.tree();
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -6,6 +6,7 @@
 
 use crate::check::check;
 use crate::interface::*;
+use crate::state::sessions::Sessions;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Held requests are looked at this often: a small part of any aim, and cheap.
@@ -53,7 +54,7 @@
 const COLD_SAFETY: f64 = 0.5;
 /// Requests of a class that find no host before the others wait for the next look: queues must not eat CPU.
 const STUCK: u32 = 16;
-/// Session tokens remembered; older ones are folded into one that stands for them all.
+/// Session tokens remembered; older ones are folded into one for each group that stands for them all.
 const SESSIONS: usize = 20_000;
 /// At most one in so many replicas of a group takes reads that freeze it.
 const FROZEN_PART: usize = 3;
@@ -158,8 +159,7 @@
     crowd: BTreeMap<(u32, bool), (f64, Time)>,
     /// The usual priority of reads, and of writes.
     usual: [f64; 2],
-    sessions: BTreeMap<SessionId, Position>,
-    session_floor: Position,
+    sessions: Sessions,
     retry_budget: f64,
     /// When a host that serves us last took no further connection.
     squeezed: Option<Time>,
@@ -187,8 +187,7 @@
             groups: BTreeMap::new(),
             open: BTreeMap::new(),
             out: BTreeMap::new(),
-            sessions: BTreeMap::new(),
-            session_floor: Position(i64::MIN),
+            sessions: Sessions::new(SESSIONS),
             retry_budget: RETRY_BUDGET.1,
             squeezed: None,
             look_at: None,
@@ -289,7 +288,7 @@
         let token = match class.freshness {
             Freshness::Fresh => Position(self.now.0),
             Freshness::Session if self.s.remembered => {
-                r.session.and_then(|key| self.sessions.get(&key).copied()).unwrap_or(self.session_floor)
+                r.session.map_or(self.sessions.floor(r.group), |key| self.sessions.token(key, r.group))
             }
             Freshness::Session => match r.since_write {
                 Some(ago) if ago.0 > 0 => Position(self.now.0 - ago.0 + ROUNDING_US),
@@ -353,7 +352,8 @@
             }
             if r.outcome == Outcome::Ok && self.s.classes[open.class].freshness == Freshness::Write {
                 if let (Some(key), Some(commit)) = (open.session, r.position) {
-                    self.remember(key, commit);
+                    let group = open.group;
+                    self.remember(key, group, commit);
                 }
             }
         }
@@ -453,17 +453,11 @@
         shown.map(|(_, id)| id).or_else(listed)
     }
 
-    fn remember(&mut self, key: SessionId, commit: Position) {
-        if !self.s.remembered {
-            return;
-        }
+    fn remember(&mut self, key: SessionId, group: u32, commit: Position) {
         // No commit is ahead of the clock, but a session must not lose its token for such a one either.
         let commit = commit.min(Position(self.now.0 + AHEAD_US));
-        let entry = self.sessions.entry(key).or_insert(commit);
-        *entry = (*entry).max(commit);
-        if self.sessions.len() > SESSIONS {
-            self.session_floor = self.sessions.values().copied().max().unwrap_or(self.session_floor);
-            self.sessions.clear();
+        if self.s.remembered {
+            self.sessions.remember(key, group, commit);
         }
     }
 
--- a/crates/decisions/tests/failures.rs
+++ b/crates/decisions/tests/failures.rs
@@ -271,3 +271,36 @@
     let first = size(&mut world, 2);
     assert!(size(&mut world, 102) < first + first / 4);
 }
+
+/// More sessions write than are remembered: who is forgotten must not read at a replica that lacks its write, and
+/// the sets that nothing was forgotten of are not bound by it.
+#[test]
+fn a_session_that_is_forgotten_still_sees_its_write() {
+    let mut world = World::known(Settings { remembered: true, ..settings() }, 3);
+    // Both have been up for long: no cold start stands in the way.
+    let warm =
+        |n| HostEntry { online_since: Some(Time(1)), ..HostEntry::new(HostId(n), 1, HostState::Running) };
+    let other = [10, 11].map(warm);
+    world.event(Event::Hosts(ListKind::Update, other.to_vec()));
+    world.probed(10, report(world.now, Role::Primary));
+    world.probed(11, report(world.now - 10 * MS, Role::Replica));
+    let of = |key: u64, id: u64, class, group| Request {
+        session: Some(SessionId(key)),
+        ..Request::new(RequestId(1_000_000 + id), class, group, 2_000 * MS)
+    };
+    for key in 0..30_000 {
+        let written = of(key, key, 3, 0);
+        let id = written.id;
+        assert_eq!(sends(&world.event(Event::Arrival(written))), [0]);
+        let (host, position, role) = (HostId(0), Some(Position(world.now)), Some(Role::Primary));
+        let (outcome, latency) = (Outcome::Ok, Time(50 * MS));
+        let reply =
+            Reply { id, attempt: 0, host, outcome, latency, closed: true, position, role, report: None };
+        world.event(Event::Reply(reply));
+    }
+    world.now += MS;
+    let first = world.event(Event::Arrival(of(0, 40_000, 1, 0)));
+    assert!(sends(&first).iter().all(|host| *host == 0), "{first:?}");
+    let elsewhere = world.event(Event::Arrival(of(0, 40_001, 1, 1)));
+    assert_eq!(sends(&elsewhere), [11]);
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod load;
 mod parity;
 pub mod rig;
+mod starve;
 mod table;
 
 use clap::{Parser, Subcommand};
@@ -25,6 +26,8 @@
     Demo(demo::Demo),
     /// The same arrivals and troubles over PostgreSQL and over TDS. Exit status 0 if they fare alike.
     Parity(parity::Parity),
+    /// A crowd of slow clients beside the usual load. Exit status 0 if the sale-writes do not notice.
+    Starve(starve::Starve),
 }
 
 /// Why an experiment could not be made.
@@ -51,6 +54,7 @@
     let done = match arguments.command {
         Command::Demo(demo) => demo.run().map(|()| true),
         Command::Parity(parity) => parity.run(),
+        Command::Starve(starve) => starve.run(),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/lab/src/parity.rs
+++ b/crates/lab/src/parity.rs
@@ -78,7 +78,7 @@
     let (world, clock, address) = (rig.installation.mailbox(), rig.clock, rig.port(wire)?);
     rig.installation.begin().await;
     let classes = load::run(Target { wire, address, spec, clock, world }, plan).await;
-    let verdict = rig.installation.verdict().await;
+    let verdict = rig.installation.verdict().await?;
     rig.proxy.end().await?;
     Ok(Outcome { wire, classes, verdict })
 }
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use tokio::sync::{mpsc, oneshot};
+use wheelpier::budget::Budget;
 use wheelpier::config::{Config, Operator};
 use wheelpier::counters::Counters;
 use wheelpier::net::{Control, Proxy};
@@ -33,6 +34,7 @@
 pub struct ProxyThread {
     pub addresses: Vec<(Protocol, SocketAddr)>,
     pub counters: Arc<Counters>,
+    pub budget: Budget,
     control: mpsc::Sender<Control>,
     thread: JoinHandle<std::io::Result<()>>,
 }
@@ -49,7 +51,7 @@
             "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
         });
         let operator = Operator::read(OPERATOR, "the lab's own")?;
-        let config = Config::read(&config.to_string(), |_| None)?.with_operator(operator);
+        let config = Config::read(&config.to_string(), |_| None)?.with_operator(operator)?;
         let proxy = ProxyThread::start(config).await?;
         Ok(Self { clock, installation, proxy })
     }
@@ -72,12 +74,12 @@
         let thread = std::thread::spawn(move || {
             runtime()?.block_on(async {
                 let proxy = Proxy::bind(config).await?;
-                let _ = bound.send((proxy.addresses()?, proxy.counters()));
+                let _ = bound.send((proxy.addresses()?, proxy.counters(), proxy.budget()));
                 proxy.serve(asked).await
             })
         });
-        let (addresses, counters) = started.await.map_err(|_| LabError::Ended)?;
-        Ok(Self { addresses, counters, control, thread })
+        let (addresses, counters, budget) = started.await.map_err(|_| LabError::Ended)?;
+        Ok(Self { addresses, counters, budget, control, thread })
     }
 
     /// Lets it drain and end.
--- a/crates/standin/src/net/client.rs
+++ b/crates/standin/src/net/client.rs
@@ -84,6 +84,11 @@
         Ok(client)
     }
 
+    /// The bare connection, for whoever means to misuse it.
+    pub fn into_stream(self) -> TcpStream {
+        self.stream
+    }
+
     /// Asks and waits for the answer.
     ///
     /// # Errors
--- a/crates/standin/src/net/mod.rs
+++ b/crates/standin/src/net/mod.rs
@@ -175,9 +175,13 @@
     }
 
     /// Nothing more comes: how the rules fared.
-    pub async fn verdict(&self) -> Verdict {
+    ///
+    /// # Errors
+    /// When the world has ended before: nothing can be said of the rules then.
+    pub async fn verdict(&self) -> io::Result<Verdict> {
+        let ended = || io::Error::other("the stand-in's world has ended before its time");
         let (answer, verdict) = oneshot::channel();
-        let _ = self.mailbox.send(Told::Judge(answer)).await;
-        verdict.await.unwrap_or_default()
+        self.mailbox.send(Told::Judge(answer)).await.map_err(|_| ended())?;
+        verdict.await.map_err(|_| ended())
     }
 }
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -11,6 +11,9 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 
+/// The value made for a request whose id begins so has 64 KiB.
+pub const LARGE: &str = "large-";
+
 /// A request's number at the world, given by the caller and not used again.
 pub type Ticket = u64;
 
@@ -290,7 +293,11 @@
 
     /// The value made for a request.
     pub fn content(id: &str) -> String {
-        format!("value of {id}")
+        let mut content = format!("value of {id}");
+        if id.starts_with(LARGE) {
+            content.extend(std::iter::repeat_n(' ', 64 * 1024 - content.len()));
+        }
+        content
     }
 
     /// The work of a request: the same for each attempt, whoever asks and in whatever protocol.
--- a/crates/tds/src/packet.rs
+++ b/crates/tds/src/packet.rs
@@ -111,6 +111,11 @@
         self.packet = packet.max(PACKET_SIZE);
     }
 
+    /// Bytes that it keeps of a message that is not yet whole.
+    pub fn held(&self) -> usize {
+        self.payload.capacity()
+    }
+
     /// Whether a message has begun and not ended.
     pub fn begun(&self) -> bool {
         self.kind.is_some()
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,7 +1,9 @@
 //! The command line: what a person types, and what the exit status says.
 
+use crate::budget::PURPOSES;
 use crate::config::{Config, ConfigError, Operator, OperatorError};
 use crate::net::{self, Control};
+use bytesize::ByteSize;
 use clap::{Parser, Subcommand, ValueEnum};
 use std::io;
 use std::path::PathBuf;
@@ -129,6 +131,12 @@
     println!("discovery    {}", config.discovery);
     println!("connections  {} of clients, {} to ledger hosts", config.limits.clients, config.limits.upstream);
     println!("requests     {} held at most, {} attempts each", config.most_held, config.max_attempts);
+    println!("memory       {} accounted for", ByteSize(config.plan.total));
+    println!("  {:<18}{:>12}{:>12}", "purpose", "cap", "reserve");
+    for (purpose, terms) in PURPOSES.iter().zip(&config.plan.terms) {
+        let (cap, reserve) = (ByteSize(terms.cap).to_string(), ByteSize(terms.reserve).to_string());
+        println!("  {:<18}{cap:>12}{reserve:>12}", purpose.to_string());
+    }
     for class in &config.names.classes {
         let keyed = if class.keyed { ", keyed" } else { "" };
         println!("class        {}: {}{keyed}", class.name, if class.write { "writes" } else { "reads" });
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -4,6 +4,7 @@
 
 pub use operator::{HostProtocols, Operator, OperatorError};
 
+use crate::budget::plan::{ClassWorth, Figures, Plan};
 use crate::interface::{Class, Freshness, HostState, Repeat, Settings};
 use crate::listing::{Listing, RawListing};
 use crate::pgwire;
@@ -79,6 +80,10 @@
     pub limits: Limits,
     /// Memory that messages may take, in bytes; none if it is not bounded.
     pub memory: Option<f64>,
+    /// What the division of memory goes by.
+    figures: Figures,
+    /// How memory is divided by purpose.
+    pub plan: Plan,
     /// The ledger hosts as last known.
     pub known: Option<Listing>,
     /// The module's settings.
@@ -122,12 +127,19 @@
     name: String,
 }
 
+#[derive(Deserialize)]
+struct Customer {
+    name: String,
+    #[serde(default)]
+    share: f64,
+}
+
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "camelCase", default)]
 struct SettingsNames {
     areas: Vec<String>,
     grades: Vec<Named>,
-    customers: Vec<Named>,
+    customers: Vec<Customer>,
     limits: SettingsLimits,
 }
 
@@ -154,6 +166,10 @@
 /// at its longest.
 const MEMORY_SHARE: f64 = 0.95;
 const STATEMENTS: f64 = 0.8;
+/// Part of the memory that is accounted for by purpose: the program itself and the allocator need the rest.
+const ACCOUNTED: f64 = 0.8;
+/// What is accounted for where nothing bounds the memory.
+const UNBOUNDED: u64 = 4 << 30;
 /// Fewer connections than this on either side serve nobody.
 const LEAST_CONNECTIONS: usize = 8;
 /// Fewer descriptors than this serve nobody.
@@ -171,18 +187,25 @@
         let path = env.get("GW_CONFIG").ok_or_else(|| wrong("GW_CONFIG", "is not set"))?;
         let text = std::fs::read_to_string(path).map_err(|e| wrong("GW_CONFIG", e))?;
         let read = Self::read(&text, |name| env.get(name).cloned())?;
-        Ok(Self { file: Some(path.into()), ..read }.with_operator(operator))
+        Self { file: Some(path.into()), ..read }.with_operator(operator)
     }
 
     /// Takes the operator's own file in.
-    pub fn with_operator(mut self, operator: Operator) -> Self {
+    ///
+    /// # Errors
+    /// When what it sets does not fit to the rest.
+    pub fn with_operator(mut self, operator: Operator) -> Result<Self, ConfigError> {
         let longest = operator.listeners.iter().map(|l| l.protocol.longest_statement()).max().unwrap_or(0);
         if let Some(memory) = self.memory.filter(|_| longest > pgwire::MOST_STATEMENT) {
             let held = (memory * STATEMENTS / longest as f64) as usize;
             self.limits.clients = self.limits.clients.min(held).max(LEAST_CONNECTIONS);
         }
-        self.operator = operator;
-        self
+        let mut figures = self.figures.clone();
+        figures.total = operator.memory.total.unwrap_or(figures.total);
+        figures.overrides = operator.memory.purposes.clone();
+        self.plan = Plan::new(&figures).map_err(|e| wrong("memory", e))?;
+        (self.figures, self.operator) = (figures, operator);
+        Ok(self)
     }
 
     /// Where clients connect, and what is spoken there.
@@ -253,6 +276,15 @@
         };
         let upstream = within(UPSTREAM_SHARE, 1.0 - STATEMENTS, pgwire::MOST_ANSWER);
         let clients = within(1.0 - UPSTREAM_SHARE, STATEMENTS, pgwire::MOST_STATEMENT);
+        let class =
+            |class: &Class| ClassWorth { worth: class.worth, write: class.freshness == Freshness::Write };
+        let figures = Figures {
+            total: file.limits.memory_mb.map_or(UNBOUNDED, |mb| (mb * ACCOUNTED * f64::from(1 << 20)) as u64),
+            classes: settings.classes.iter().map(class).collect(),
+            tenants: more.customers.iter().map(|c| c.share).collect(),
+            ..Figures::default()
+        };
+        let plan = Plan::new(&figures).map_err(|e| wrong("limits.memory_mb", e))?;
         let names = Names {
             classes: more.grades.into_iter().zip(&settings.classes).map(class_name).collect(),
             tenants: more.customers.into_iter().map(|c| c.name).collect(),
@@ -273,6 +305,8 @@
             seed,
             limits: Limits { clients, upstream },
             memory,
+            figures,
+            plan,
             operator: Operator::default(),
             known: known.filter(|list| list.entries.iter().any(|e| e.state != HostState::Deleted)),
             settings,
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -1,7 +1,10 @@
 //! The operator's own file, in YAML: what the platform does not tell a proxy. Without it the program is what it
 //! is without this module.
 
+use crate::budget::plan::Override;
+use crate::budget::{Purpose, PURPOSES};
 use crate::protocol::Protocol;
+use bytesize::ByteSize;
 use serde::Deserialize;
 use serde_saphyr::{Location, Spanned};
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,6 +18,17 @@
     pub listeners: Vec<Listener>,
     /// What ledger hosts speak.
     pub hosts: HostProtocols,
+    /// How memory is divided.
+    pub memory: MemoryTerms,
+}
+
+/// What the operator sets of memory; the rest is divided as ever.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct MemoryTerms {
+    /// All that is accounted for, in bytes.
+    pub total: Option<u64>,
+    /// Caps and reserves by purpose.
+    pub purposes: BTreeMap<Purpose, Override>,
 }
 
 /// A port for clients.
@@ -64,6 +78,21 @@
 struct File {
     listeners: Vec<RawListener>,
     hosts: RawHosts,
+    memory: RawMemory,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+struct RawMemory {
+    total: Option<Spanned<String>>,
+    purposes: BTreeMap<String, Spanned<RawPurpose>>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+struct RawPurpose {
+    cap: Option<Spanned<String>>,
+    reserve: Option<Spanned<String>>,
 }
 
 #[derive(Deserialize)]
@@ -93,6 +122,14 @@
         OperatorError { file: self.file.to_owned(), line, key: key.to_owned(), problem }
     }
 
+    fn bytes(&self, text: &Spanned<String>, key: &str) -> Result<u64, OperatorError> {
+        let size: Result<ByteSize, _> = text.value.parse();
+        size.map(|size| size.as_u64()).map_err(|_| {
+            let problem = format!("`{}` is no size; allowed are numbers with a unit, like 64MiB", text.value);
+            self.at(text.referenced, key, problem)
+        })
+    }
+
     fn protocol(&self, name: &Spanned<String>, key: &str) -> Result<Protocol, OperatorError> {
         let found = PROTOCOLS.into_iter().find(|protocol| protocol.to_string() == name.value);
         found.ok_or_else(|| {
@@ -154,8 +191,31 @@
             }
             listeners.push(Listener { protocol, address });
         }
-        Ok(Self { listeners, hosts })
+        Ok(Self { listeners, hosts, memory: memory(&raw.memory, &fault)? })
+    }
+}
+
+fn memory(raw: &RawMemory, fault: &Fault<'_>) -> Result<MemoryTerms, OperatorError> {
+    let total = raw.total.as_ref().map(|text| fault.bytes(text, "memory.total")).transpose()?;
+    let mut purposes = BTreeMap::new();
+    for (name, terms) in &raw.purposes {
+        let key = |part: &str| format!("memory.purposes.{name}{part}");
+        let purpose = PURPOSES.into_iter().find(|purpose| purpose.to_string() == *name).ok_or_else(|| {
+            let known: Vec<String> = PURPOSES.iter().map(ToString::to_string).collect();
+            let problem = format!("`{name}` is no purpose; allowed are {}", known.join(", "));
+            fault.at(terms.referenced, &key(""), problem)
+        })?;
+        let bytes = |text: &Option<Spanned<String>>, part| {
+            text.as_ref().map(|text| fault.bytes(text, &key(part))).transpose()
+        };
+        let (cap, reserve) = (bytes(&terms.value.cap, ".cap")?, bytes(&terms.value.reserve, ".reserve")?);
+        if cap.zip(reserve).is_some_and(|(cap, reserve)| reserve > cap) {
+            let problem = "a reserve is at most as large as the cap".to_owned();
+            return Err(fault.at(terms.referenced, &key(".reserve"), problem));
+        }
+        purposes.insert(purpose, Override { cap, reserve });
     }
+    Ok(MemoryTerms { total, purposes })
 }
 
 fn hosts(raw: RawHosts, fault: &Fault<'_>) -> Result<HostProtocols, OperatorError> {
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -1,8 +1,10 @@
 //! The module's actor: it alone owns the router, the request table and the router's timers.
 
 use super::clock::Clock;
+use super::memory::Memory;
 use super::messages::{Answer, Arrival, AttemptEnd, Event, Mail, Probe, Request, Statement};
 use super::upstream::{self, Command, Peer};
+use crate::budget::Ticket;
 use crate::config::Config;
 use crate::counters::{Counters, Ended};
 use crate::interface::{
@@ -40,6 +42,8 @@
     sent: Vec<HostId>,
     out: u32,
     write: bool,
+    /// What it costs to hold.
+    _room: Ticket,
 }
 
 /// A ledger host's actor, and what keeps it.
@@ -73,6 +77,7 @@
     pool: upstream::Pool,
     ready: watch::Sender<bool>,
     counters: Arc<Counters>,
+    memory: Memory,
     config: Config,
     actions: Vec<Action>,
     /// Told to the router once the actions in hand are carried out.
@@ -86,6 +91,7 @@
         events: mpsc::Sender<Event>,
         ready: watch::Sender<bool>,
         counters: Arc<Counters>,
+        memory: Memory,
     ) -> Result<Self, SettingsError> {
         Ok(Self {
             router: Router::new(config.settings.clone(), config.seed)?,
@@ -102,6 +108,7 @@
             pool: upstream::Pool::new(&config, Arc::clone(&counters)),
             ready,
             counters,
+            memory,
             config,
             actions: Vec::new(),
             next: VecDeque::new(),
@@ -171,6 +178,16 @@
             self.counters.ended(Ended::Failed);
             return mail(&client, id, Answer::Invalid("a request with this id is open".to_owned()));
         }
+        let room = self.memory.request(request.class, request.tenant, request.statement.text.len());
+        let room = match room {
+            Ok(room) => room,
+            Err(refused) => {
+                self.names.remove(&request.name);
+                self.counters.ended(Ended::Refused);
+                let retry_after = retry_after.and(refused.refusal.retry_after);
+                return mail(&client, id, Answer::Refused { retry_after });
+            }
+        };
         let deadline = arrived + request.wait.saturating_sub(WAY_BACK.min(request.wait / 10));
         let last_call = arrived + request.wait.saturating_sub(LAST_CALL.min(request.wait / 20));
         let last_call = Some(self.timers.insert_at(Due::LastCall(id), last_call));
@@ -186,6 +203,7 @@
             sent: Vec::new(),
             out: 0,
             write,
+            _room: room,
         };
         self.table.insert(id, held);
         self.open += 1;
--- a/src/net/frontend/client.rs
+++ b/src/net/frontend/client.rs
@@ -6,7 +6,9 @@
 use super::postgres::Postgres;
 use super::tds::Tds;
 use super::{request, Door};
+use crate::budget::{AccountId, Ticket};
 use crate::interface::RequestId;
+use crate::net::memory::Reclaim;
 use crate::net::messages::{Answer, Arrival, Event, Mail, Request};
 use crate::protocol::Protocol;
 use bytes::BytesMut;
@@ -37,6 +39,8 @@
 const MOST_LINGER: usize = 1 << 20;
 /// A buffer that has grown beyond this is given back once it is empty.
 const KEPT: usize = 4 * 1024;
+/// Buffers are accounted for in steps of so many bytes.
+const STEP: usize = 1024;
 /// So much is read ahead while an answer is awaited: enough to see the client leave, little to hold.
 const READ_AHEAD: usize = 16 * 1024;
 /// When connections run short those that have been idle for longer than this go.
@@ -72,6 +76,12 @@
     pub seat: Arc<()>,
     /// Until it has said who it is: it may be shown out to make room for others.
     pub stranger: Option<Arc<Notify>>,
+    /// What its connection costs.
+    pub _connection: Ticket,
+    /// What its buffers cost.
+    pub buffers: Ticket,
+    /// Buffers that have to be given back.
+    pub reclaims: watch::Receiver<Vec<Arc<Reclaim>>>,
 }
 
 struct Client<C, I> {
@@ -97,6 +107,8 @@
     partial: Option<Instant>,
     /// Statements that made no sense.
     wrong: u32,
+    /// Whose buffers its own are: strangers' until it has asked for something, then its class's and tenant's.
+    account: AccountId,
 }
 
 /// Serves one client until it leaves.
@@ -128,6 +140,7 @@
     let (read, out) = (BytesMut::with_capacity(1024), BytesMut::with_capacity(1024));
     let came = Instant::now();
     let over = taken(&held.seat) > door.limit;
+    let account = door.memory.strangers();
     let mut client = Client {
         stream,
         conversation,
@@ -145,10 +158,14 @@
         quiet: came,
         partial: None,
         wrong: 0,
+        account,
     };
     if let Err(Over::Fault(fault)) = client.talk(squeezed).await {
         client.door.counters.malformed();
         client.conversation.end(&fault, &mut client.out);
+        // What it had begun is of no more use: others may be waiting for the room.
+        client.read = BytesMut::new();
+        let _ = client.hold();
         let _ = client.flush().await;
         let _ = client.stream.shutdown().await;
         let _ = timeout(LINGER, client.drop_rest()).await;
@@ -182,7 +199,11 @@
             () = last_call => return Ok(()),
         }
         drop(stranger);
+        let mut reclaims = self.held.reclaims.clone();
+        // What was taken back before it came is no concern of its.
+        reclaims.mark_unchanged();
         loop {
+            self.hold()?;
             while let Some(step) = self.conversation.next(&mut self.read, &mut self.out)? {
                 self.partial = None;
                 let wrong = self.wrong;
@@ -232,6 +253,12 @@
                 }
                 () = sleep_until(closes.unwrap_or(self.came)), if closes.is_some() => return Ok(()),
                 Ok(()) = draining.changed() => {}
+                Ok(()) = reclaims.changed() => {
+                    let (account, held) = (self.account, self.held.buffers.bytes());
+                    if reclaims.borrow_and_update().iter().any(|reclaim| reclaim.claims(account, held)) {
+                        return Err(Fault::Refused(self.door.retry_after).into());
+                    }
+                }
                 Ok(()) = squeezed.changed() => {
                     if !begun && self.quiet.elapsed() >= IDLE {
                         return Ok(());
@@ -255,9 +282,22 @@
             if self.stream.read_buf(&mut self.read).await? == 0 {
                 return Err(Over::Closed);
             }
+            self.hold()?;
         }
     }
 
+    /// Accounts for the buffers as they are.
+    ///
+    /// # Errors
+    /// When there is no room for them: the client has to come again.
+    fn hold(&mut self) -> Result<(), Fault> {
+        let bytes = self.read.capacity() + self.out.capacity() + self.conversation.held();
+        // Buffers shrink a little with each message taken: only whole steps are worth telling.
+        let bytes = bytes.next_multiple_of(STEP) as u64;
+        let held = self.door.memory.hold(&mut self.held.buffers, self.account, bytes);
+        held.map_err(|refused| Fault::Refused(refused.refusal.retry_after))
+    }
+
     async fn step(&mut self, step: Step) -> Result<(), Over> {
         match step {
             Step::Statement(text) => {
@@ -287,6 +327,7 @@
 
     /// Hands a request to the module and writes the answer, unless the client leaves before.
     async fn ask(&mut self, mut request: Request) -> Result<(), Over> {
+        self.account = self.door.memory.account(request.class, request.tenant);
         if self.ended {
             // It ended its side after sending this: it may be gone, or only have nothing more to say.
             self.fault(&Fault::Left);
@@ -380,10 +421,9 @@
     /// Reads what still comes and drops it.
     async fn drop_rest(&mut self) -> io::Result<()> {
         let mut left = MOST_LINGER;
-        self.read = BytesMut::new();
         while left > 0 {
             self.read.clear();
-            self.read.reserve(READ_AHEAD);
+            self.read.reserve(KEPT);
             match self.stream.read_buf(&mut self.read).await? {
                 0 => break,
                 read => left = left.saturating_sub(read),
--- a/src/net/frontend/conversation.rs
+++ b/src/net/frontend/conversation.rs
@@ -38,6 +38,9 @@
     /// Whether a message has begun and is not yet whole.
     fn begun(&self, read: &BytesMut) -> bool;
 
+    /// Bytes that it keeps of a message that is not yet whole.
+    fn held(&self) -> usize;
+
     /// While a request is open: whether the client gives it up, in words at the front of what has come. These
     /// are taken and answered.
     ///
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -8,6 +8,7 @@
 mod tds;
 
 use super::clock::Clock;
+use super::memory::{Memory, Reclaim};
 use super::messages::Event;
 use crate::config::Names;
 use crate::counters::Counters;
@@ -64,6 +65,8 @@
     /// The longest time that a class of requests is given.
     pub longest: Duration,
     pub counters: Arc<Counters>,
+    pub memory: Memory,
+    pub reclaims: watch::Receiver<Vec<Arc<Reclaim>>>,
     /// When clients that find no seat may come back.
     pub retry_after: Option<Time>,
     pub limit: usize,
@@ -174,12 +177,19 @@
                         asked = Instant::now();
                         squeeze.send_replace(());
                     }
-                    if taken < door.limit + OVERFLOW {
+                    let room = door.memory.connection().ok().zip(door.memory.buffers().ok());
+                    if let Some((connection, buffers)) = room.filter(|_| taken < door.limit + OVERFLOW) {
                         let ids = Arc::clone(&ids);
                         let id = move || RequestId(ids.fetch_add(1, Relaxed));
                         let stranger = Arc::new(Notify::new());
                         strangers.push_back((Instant::now(), Arc::downgrade(&stranger)));
-                        let held = client::Held { seat: Arc::clone(&seats), stranger: Some(stranger) };
+                        let held = client::Held {
+                            seat: Arc::clone(&seats),
+                            stranger: Some(stranger),
+                            _connection: connection,
+                            buffers,
+                            reclaims: door.reclaims.clone(),
+                        };
                         clients.spawn(client::serve(stream, protocol, door.clone(), id, squeezed.clone(), held));
                     }
                     if crowded {
--- a/src/net/frontend/postgres.rs
+++ b/src/net/frontend/postgres.rs
@@ -96,6 +96,10 @@
         !read.is_empty()
     }
 
+    fn held(&self) -> usize {
+        0
+    }
+
     /// A cancel comes on a connection of its own.
     fn gives_up(&mut self, _read: &mut BytesMut, _out: &mut BytesMut) -> Result<bool, Fault> {
         Ok(false)
--- a/src/net/frontend/tds.rs
+++ b/src/net/frontend/tds.rs
@@ -255,6 +255,10 @@
         self.assembler.begun() || !read.is_empty()
     }
 
+    fn held(&self) -> usize {
+        self.assembler.held()
+    }
+
     fn gives_up(&mut self, read: &mut BytesMut, out: &mut BytesMut) -> Result<bool, Fault> {
         // Anything else waits for its turn: a second request, or what breaks the protocol.
         if self.assembler.begun() || !PacketType::Attention.begins(read) {
--- /dev/null
+++ b/src/net/memory.rs
@@ -0,0 +1,162 @@
+//! Memory by purpose, as the actors use it: the budget, whose account is whose, and what is taken back when it was
+//! not given back in time.
+
+use super::clock::Clock;
+use crate::budget::plan::{Plan, SOLE};
+use crate::budget::{AccountId, Budget, Due, Purpose, Refused, Ticket, PURPOSES};
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{watch, Notify};
+use tokio::time::{sleep, Instant};
+
+/// What a connection costs beside its buffers, in bytes: the actor, its timers, its entry in the runtime and the
+/// socket's own bookkeeping.
+pub(crate) const CONNECTION: u64 = 6 * 1024;
+/// And an open request beside its statement: its entries in both tables, its timer, its mailbox.
+pub(crate) const REQUEST: u64 = 1024;
+/// What is still overdue after it was taken back is asked for again after this time.
+const PAUSE: Duration = Duration::from_millis(100);
+/// A refusal is written to the log no more often than this, by purpose; the next line counts those between.
+const LOGGED: Duration = Duration::from_secs(1);
+
+/// Buffers of an account that are to be taken back: whoever of it can spare something claims a part.
+#[derive(Debug)]
+pub(crate) struct Reclaim {
+    account: AccountId,
+    left: AtomicU64,
+}
+
+impl Reclaim {
+    /// Whether a client of this account that holds so much has to go.
+    pub fn claims(&self, account: AccountId, bytes: u64) -> bool {
+        let claim = |left: u64| (left > 0).then(|| left.saturating_sub(bytes));
+        account == self.account && self.left.fetch_update(Relaxed, Relaxed, claim).is_ok()
+    }
+}
+
+/// The budget and what goes with it; copies share it.
+#[derive(Clone, Debug)]
+pub(crate) struct Memory {
+    budget: Budget,
+    plan: Arc<Plan>,
+    clock: Clock,
+    refused: Arc<Notify>,
+}
+
+impl Memory {
+    pub fn new(budget: Budget, plan: Plan, clock: Clock) -> Self {
+        Self { budget, plan: Arc::new(plan), clock, refused: Arc::default() }
+    }
+
+    /// The account of a class and a tenant.
+    pub fn account(&self, class: usize, tenant: usize) -> AccountId {
+        self.plan.account(class, tenant)
+    }
+
+    /// The account of those who have not said what they want.
+    pub fn strangers(&self) -> AccountId {
+        self.plan.strangers()
+    }
+
+    fn told<T>(&self, taken: Result<T, Refused>) -> Result<T, Refused> {
+        if taken.is_err() {
+            self.refused.notify_one();
+        }
+        taken
+    }
+
+    /// Room for one more connection.
+    ///
+    /// # Errors
+    /// When there is none.
+    pub fn connection(&self) -> Result<Ticket, Refused> {
+        self.told(self.budget.reserve(Purpose::Connections, SOLE, CONNECTION, self.clock.now()))
+    }
+
+    /// Room for a client's buffers, of which none are there yet.
+    ///
+    /// # Errors
+    /// Never: nothing always fits.
+    pub fn buffers(&self) -> Result<Ticket, Refused> {
+        self.budget.reserve(Purpose::ClientBuffers, self.strangers(), 0, self.clock.now())
+    }
+
+    /// Makes a ticket stand for so many bytes of an account.
+    ///
+    /// # Errors
+    /// When there is no room; the ticket then stands for what it did.
+    pub fn hold(&self, ticket: &mut Ticket, account: AccountId, bytes: u64) -> Result<(), Refused> {
+        if ticket.bytes() == bytes && ticket.account() == account {
+            return Ok(());
+        }
+        let now = self.clock.now();
+        // Less before another account is asked, so that it is asked for no more than is needed.
+        if bytes < ticket.bytes() {
+            self.told(ticket.resize(bytes, now))?;
+        }
+        self.told(ticket.assign(account, now))?;
+        self.told(ticket.resize(bytes, now))
+    }
+
+    /// Room for a request whose statement has so many bytes.
+    ///
+    /// # Errors
+    /// When there is none.
+    pub fn request(&self, class: usize, tenant: usize, statement: usize) -> Result<Ticket, Refused> {
+        let (account, bytes) = (self.account(class, tenant), statement as u64 + REQUEST);
+        self.told(self.budget.reserve(Purpose::Requests, account, bytes, self.clock.now()))
+    }
+
+    /// Watches the recalls for ever: what is not given back in time is taken from clients' buffers.
+    pub async fn watch(self, reclaims: watch::Sender<Vec<Arc<Reclaim>>>) {
+        let mut log = Refusals::default();
+        loop {
+            self.refused.notified().await;
+            log.note(&self.budget);
+            loop {
+                let dues = self.budget.overdue(self.clock.now());
+                let taken: Vec<Arc<Reclaim>> = dues.iter().filter_map(reclaim).collect();
+                if !taken.is_empty() {
+                    reclaims.send_replace(taken);
+                }
+                let Some(next) = self.budget.next_due() else { break };
+                let at = self.clock.moment(next).max(Instant::now() + PAUSE);
+                tokio::select! {
+                    () = tokio::time::sleep_until(at) => {}
+                    () = self.refused.notified() => {
+                        log.note(&self.budget);
+                        sleep(PAUSE).await;
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn reclaim(due: &Due) -> Option<Arc<Reclaim>> {
+    let account = due.account.filter(|_| due.purpose == Purpose::ClientBuffers)?;
+    Some(Arc::new(Reclaim { account, left: AtomicU64::new(due.bytes) }))
+}
+
+/// Refusals as the log has them.
+#[derive(Debug, Default)]
+struct Refusals {
+    told: [u64; PURPOSES.len()],
+    at: [Option<Instant>; PURPOSES.len()],
+}
+
+impl Refusals {
+    fn note(&mut self, budget: &Budget) {
+        for purpose in PURPOSES {
+            let n = purpose as usize;
+            let refused = budget.refusals(purpose);
+            let rested = self.at[n].is_none_or(|at| at.elapsed() >= LOGGED);
+            if refused > self.told[n] && rested {
+                let (more, used) = (refused - self.told[n], budget.used(purpose));
+                tracing::warn!("memory: no room for {purpose}: {more} refused, {used} bytes in use");
+                (self.told[n], self.at[n]) = (refused, Some(Instant::now()));
+            }
+        }
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,13 +8,16 @@
 pub(crate) mod core;
 pub(crate) mod discovery;
 pub(crate) mod frontend;
+pub(crate) mod memory;
 pub mod messages;
 pub(crate) mod upstream;
 
+use crate::budget::Budget;
 use crate::config::Config;
 use crate::counters::Counters;
 use crate::protocol::Protocol;
 use frontend::Listeners;
+use memory::Memory;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -42,6 +45,7 @@
     config: Config,
     listeners: Listeners,
     counters: Arc<Counters>,
+    budget: Budget,
 }
 
 impl Proxy {
@@ -51,7 +55,8 @@
     /// When one cannot be had.
     pub async fn bind(config: Config) -> io::Result<Self> {
         let listeners = Listeners::bind(&config.listeners()).await?;
-        Ok(Self { config, listeners, counters: Arc::default() })
+        let budget = config.plan.budget().map_err(io::Error::other)?;
+        Ok(Self { config, listeners, counters: Arc::default(), budget })
     }
 
     /// Where clients connect, and what is spoken there.
@@ -67,12 +72,17 @@
         Arc::clone(&self.counters)
     }
 
+    /// What memory it uses, by purpose, to be read while it serves.
+    pub fn budget(&self) -> Budget {
+        self.budget.clone()
+    }
+
     /// Serves until it is asked to drain, and then until all is answered.
     ///
     /// # Errors
     /// When the settings cannot work, or an actor has failed.
     pub async fn serve(self, mut control: mpsc::Receiver<Control>) -> io::Result<()> {
-        let Self { config, listeners, counters } = self;
+        let Self { config, listeners, counters, budget } = self;
         let (events, mailbox) = mpsc::channel(CORE_MAILBOX);
         let (ready, is_ready) = watch::channel(false);
         let (drain, draining) = watch::channel(None);
@@ -80,6 +90,8 @@
         let since = config.known.as_ref().map(|list| list.index);
         let zones = config.names.zones.clone();
         let clock = clock::Clock::start();
+        let memory = Memory::new(budget, config.plan.clone(), clock);
+        let (reclaims, reclaimed) = watch::channel(Vec::new());
         let door = frontend::Door {
             clock,
             events: events.clone(),
@@ -88,12 +100,22 @@
             draining,
             longest: longest(&config),
             counters: Arc::clone(&counters),
+            memory: memory.clone(),
+            reclaims: reclaimed,
             retry_after: config.settings.retry_after.then_some(config.settings.max_retry_after),
             limit: config.limits.clients,
         };
-        let core = core::Core::new(config.clone(), clock, events.clone(), ready, Arc::clone(&counters));
+        let core = core::Core::new(
+            config.clone(),
+            clock,
+            events.clone(),
+            ready,
+            Arc::clone(&counters),
+            memory.clone(),
+        );
         let core = core.map_err(io::Error::other)?;
         let follower = tokio::spawn(discovery::follow(discovery, zones, since, events));
+        let watcher = tokio::spawn(memory.watch(reclaims));
         let mut front = tokio::spawn(frontend::accept(listeners, door));
         let mut core = tokio::spawn(core.run(mailbox));
         let ended = loop {
@@ -121,6 +143,7 @@
         };
         tracing::info!("counters: {counters}");
         follower.abort();
+        watcher.abort();
         core.abort();
         ended
     }
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -47,6 +47,17 @@
     "f:3: listeners[1].address",
     "stands twice"
 )]
+#[case::no_purpose(
+    "memory:\n  purposes:\n    sofas: {cap: 1MiB}",
+    "f:3: memory.purposes.sofas",
+    "allowed are connections,"
+)]
+#[case::no_size("memory: {total: lots}", "f:1: memory.total", "`lots` is no size")]
+#[case::reserve_over_cap(
+    "memory: {purposes: {logs: {cap: 1KiB, reserve: 2KiB}}}",
+    "f:1: memory.purposes.logs.reserve",
+    "at most as large as the cap"
+)]
 #[case::lacks_a_key("listeners:\n- protocol: postgres", "f:2: file", "missing field `address`")]
 #[case::no_yaml("listeners: [", "f:1: file", "")]
 fn what_makes_no_sense_is_refused(#[case] text: &str, #[case] place: &str, #[case] problem: &str) {
--- a/tests/sockets/scenario/mod.rs
+++ b/tests/sockets/scenario/mod.rs
@@ -6,6 +6,7 @@
 //!
 //! ```text
 //! c1 send startup | ssl | cancel | sync | terminate | raw HEX | text SQL | read ID D | write ID D | own ID D
+//! c1 send part BYTES (so many of a long message)
 //! c1 expect ready | empty | value V | error CODE [DETAIL] | N | closed | silence MS;  c1 close | close half
 //! c1 expect within MS ...: the same, but no later than that
 //! h1 expect WORDS (a query holding them all) | closed | silence MS;  h1 close
@@ -316,13 +317,15 @@
 
 impl Scenario {
     /// A proxy that knows `hosts` ledger hosts of group 0 and is ready.
-    fn start(wire: Wire, hosts: usize) -> Self {
+    /// With more lines in an operator's file, if there are any.
+    fn start(wire: Wire, hosts: usize, more: &str) -> Self {
         let hosts: Vec<Host> = (0..hosts).map(|n| Host::start(wire, n == 0)).collect();
         let list = List::start();
         let listen = TcpListener::bind(own_address()).unwrap().local_addr().unwrap();
         let tds = TcpListener::bind(own_address()).unwrap().local_addr().unwrap();
         let operator = format!("hosts: {{default: tds}}\nlisteners: [{{protocol: tds, address: '{tds}'}}]\n");
-        let operator = Some(&operator[..]).filter(|_| wire == Wire::Tds);
+        let operator = if wire == Wire::Tds { operator + more } else { more.to_owned() };
+        let operator = Some(&operator[..]).filter(|text| !text.is_empty());
         let entries = hosts.iter().enumerate().map(|(n, h)| entry(&format!("h{}", n + 1), h.address, "up"));
         let entries = entries.collect::<Vec<_>>().join(",");
         let known = format!(r#"{{"index":1,"snapshot":true,"endpoints":[{entries}]}}"#);
@@ -332,7 +335,7 @@
         let discovery = list.address.to_string();
         let program = Program::start_with(&config, &listen.to_string(), &discovery, operator);
         let until = Instant::now() + PATIENCE;
-        let last = if operator.is_some() { tds } else { listen };
+        let last = if wire == Wire::Tds { tds } else { listen };
         while TcpStream::connect(last).is_err() {
             assert!(Instant::now() < until, "the proxy does not listen");
             std::thread::sleep(Duration::from_millis(10));
@@ -505,6 +508,7 @@
         "sync" => message(b'S', &[]),
         "terminate" => message(b'X', &[]),
         "raw" => unhex(rest),
+        "part" => [&b"Q\0\x01\xff\xff"[..], &vec![b' '; rest.parse().unwrap()]].concat(),
         "text" => query(rest),
         "read" => asks("SELECT content FROM kv WHERE name = 'k1'", "any"),
         "own" => asks("SELECT content FROM kv WHERE name = 'k1'", "own"),
@@ -569,12 +573,17 @@
 
 /// Plays a scenario with so many ledger hosts.
 pub fn play(hosts: usize, text: &str) {
-    run(Scenario::start(Wire::Postgres, hosts), text);
+    run(Scenario::start(Wire::Postgres, hosts, ""), text);
 }
 
 /// Plays a scenario with so many ledger hosts that speak TDS, and a port for clients that do.
 pub fn play_tds(hosts: usize, text: &str) {
-    run(Scenario::start(Wire::Tds, hosts), text);
+    run(Scenario::start(Wire::Tds, hosts, ""), text);
+}
+
+/// Plays a scenario with so many ledger hosts and an operator's file.
+pub fn play_with(operator: &str, hosts: usize, text: &str) {
+    run(Scenario::start(Wire::Postgres, hosts, operator), text);
 }
 
 fn run(mut scenario: Scenario, text: &str) {
