Let whoever has asked for nothing make room when all seats are taken

Need: starve showed that slow clients, who begin a statement and do not end it, keep their seats for 2.7 s each, and that newcomers with sale-writes are cut off at the door meanwhile. Change: at full seats the longest here that has asked for nothing is told to come again, and its seat is free at once. The laboratory's client sends once more what crossed the close of an idle connection, counts it, and tells a request that never went out from one that was lost.

--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -31,6 +31,8 @@
     pub in_time: u64,
     pub refused: u64,
     pub failed: u64,
+    /// Sent once more because an idle connection ended under it.
+    pub resent: u64,
     /// Of those that were served, in microseconds.
     pub latency: Histogram<u64>,
 }
@@ -40,7 +42,7 @@
         // Fails only where the bounds make no sense.
         let latency =
             Histogram::new_with_max(LONGEST, 3).unwrap_or_else(|_| Histogram::new(3).expect("3 digits"));
-        Self { name, offered: 0, served: 0, in_time: 0, refused: 0, failed: 0, latency }
+        Self { name, offered: 0, served: 0, in_time: 0, refused: 0, failed: 0, resent: 0, latency }
     }
 
     /// A percentile in milliseconds.
@@ -59,6 +61,14 @@
     pub world: mpsc::Sender<Told>,
 }
 
+/// Why a request has no answer.
+enum Failure {
+    /// It had no connection to go out on.
+    Door,
+    /// Its connection ended before the answer.
+    Lost,
+}
+
 struct Load {
     target: Target,
     idle: RefCell<Vec<Client>>,
@@ -105,20 +115,32 @@
                 Told::Answered { id: planned.id, value: Some(value.clone()), wrote }
             }
             Ok(Ok(_)) => Told::Answered { id: planned.id, value: None, wrote: None },
+            // Closed at the door, with nothing said: it was never taken.
+            Ok(Err(Failure::Door)) => Told::Withdrawn(planned.id),
             _ => Told::Lost(planned.id),
         };
         let _ = world.send(told).await;
         self.count(class, at.elapsed(), answer.ok().and_then(Result::ok));
     }
 
-    async fn ask(&self, planned: &Planned, patience: Duration) -> io::Result<Answer> {
+    /// Asks on an idle connection, or on a new one. A proxy may close a connection between requests: if that crosses
+    /// a request, its client sends it once more on a new one.
+    async fn ask(&self, planned: &Planned, patience: Duration) -> Result<Answer, Failure> {
         let Target { wire, address, spec, .. } = &self.target;
+        let wait = patience.as_micros() as Micros;
         let idle = self.idle.borrow_mut().pop();
-        let mut client = match idle {
-            Some(client) => client,
-            None => Client::connect(*wire, *address).await?,
-        };
-        let answer = client.ask(planned, spec, patience.as_micros() as Micros).await?;
+        if let Some(mut client) = idle {
+            if let Ok(answer) = client.ask(planned, spec, wait).await {
+                self.idle.borrow_mut().push(client);
+                return Ok(answer);
+            }
+            self.results.borrow_mut()[planned.class].resent += 1;
+        }
+        let mut client = Client::connect(*wire, *address).await.map_err(|_| Failure::Door)?;
+        let answer = client.ask(planned, spec, wait).await.map_err(|e| match e.kind() {
+            io::ErrorKind::UnexpectedEof | io::ErrorKind::ConnectionReset if client.silent() => Failure::Door,
+            _ => Failure::Lost,
+        })?;
         self.idle.borrow_mut().push(client);
         Ok(answer)
     }
@@ -138,3 +160,8 @@
         }
     }
 }
+
+/// How many requests were sent once more.
+pub fn resent(results: &[ClassResult]) -> u64 {
+    results.iter().map(|class| class.resent).sum()
+}
--- a/crates/lab/src/parity.rs
+++ b/crates/lab/src/parity.rs
@@ -134,6 +134,10 @@
     let head = ["rule", &tried[0], "broken", &tried[1], "broken"];
     println!("{}", table::lay_out(&head, &rules));
     for outcome in outcomes {
+        match load::resent(&outcome.classes) {
+            0 => {}
+            resent => println!("{}: {resent} requests sent once more on a new connection", outcome.wire),
+        }
         for breach in outcome.verdict.breaches.iter().take(5) {
             println!("{}: {}: {}", outcome.wire, breach.rule, breach.what);
         }
--- a/crates/lab/src/starve.rs
+++ b/crates/lab/src/starve.rs
@@ -168,6 +168,9 @@
     for breach in alone.verdict.breaches.iter().chain(&crowded.verdict.breaches).take(5) {
         println!("{}: {}", breach.rule, breach.what);
     }
+    for (name, outcome) in [("alone", alone), ("crowd", crowded)] {
+        println!("{name}: {} requests sent once more on a new connection", load::resent(&outcome.classes));
+    }
     let written = |outcome: &Outcome| {
         let spec = Spec::sapporo();
         let write = spec.classes.iter().position(|class| class.freshness == Freshness::Write).unwrap_or(0);
--- a/crates/standin/src/checker.rs
+++ b/crates/standin/src/checker.rs
@@ -157,6 +157,11 @@
         self.check(Rule::Answer, false, || format!("{id} has no answer"));
     }
 
+    /// A request never went out: nobody owes it an answer.
+    pub fn withdrawn(&mut self, id: &str) {
+        self.open.remove(id);
+    }
+
     /// Nothing more comes: what is still open has no answer.
     pub fn end(&mut self) {
         let mut open: Vec<String> = self.open.keys().cloned().collect();
--- a/crates/standin/src/net/actor.rs
+++ b/crates/standin/src/net/actor.rs
@@ -46,6 +46,8 @@
     },
     /// A client's connection has ended without an answer.
     Lost(String),
+    /// A client had no connection to send it on: it has failed and is not lost.
+    Withdrawn(String),
     /// How the rules fared, once nothing more comes.
     Judge(oneshot::Sender<Verdict>),
 }
@@ -177,6 +179,10 @@
                 self.world.answered(&id);
                 self.checker.lost(&id);
             }
+            Told::Withdrawn(id) => {
+                self.world.answered(&id);
+                self.checker.withdrawn(&id);
+            }
             Told::Judge(answer) => {
                 self.checker.end();
                 let _ = answer.send(self.verdict());
--- a/crates/standin/src/net/client.rs
+++ b/crates/standin/src/net/client.rs
@@ -84,6 +84,11 @@
         Ok(client)
     }
 
+    /// Whether nothing has come that was not read as a part of an answer.
+    pub fn silent(&self) -> bool {
+        self.read.is_empty() && !self.assembler.begun()
+    }
+
     /// The bare connection, for whoever means to misuse it.
     pub fn into_stream(self) -> TcpStream {
         self.stream
--- a/src/net/frontend/client.rs
+++ b/src/net/frontend/client.rs
@@ -56,6 +56,8 @@
     Closed,
     /// The client is told.
     Fault(Fault),
+    /// The client is told, and its seat is wanted: it does not get the time to read what it still sends.
+    Seat(Fault),
 }
 
 impl From<io::Error> for Over {
@@ -76,6 +78,8 @@
     pub seat: Arc<()>,
     /// Until it has said who it is: it may be shown out to make room for others.
     pub stranger: Option<Arc<Notify>>,
+    /// Until it has asked for something: the same, if all seats are taken.
+    pub newcomer: Option<Arc<Notify>>,
     /// What its connection costs.
     pub _connection: Ticket,
     /// What its buffers cost.
@@ -160,7 +164,9 @@
         wrong: 0,
         account,
     };
-    if let Err(Over::Fault(fault)) = client.talk(squeezed).await {
+    let over = client.talk(squeezed).await.err();
+    let linger = matches!(over, Some(Over::Fault(_)));
+    if let Some(Over::Fault(fault) | Over::Seat(fault)) = over {
         client.door.counters.malformed();
         client.conversation.end(&fault, &mut client.out);
         // What it had begun is of no more use: others may be waiting for the room.
@@ -168,7 +174,9 @@
         let _ = client.hold();
         let _ = client.flush().await;
         let _ = client.stream.shutdown().await;
-        let _ = timeout(LINGER, client.drop_rest()).await;
+        if linger {
+            let _ = timeout(LINGER, client.drop_rest()).await;
+        }
     }
     let _ = client.stream.shutdown().await;
 }
@@ -199,6 +207,7 @@
             () = last_call => return Ok(()),
         }
         drop(stranger);
+        let mut newcomer = self.held.newcomer.take();
         let mut reclaims = self.held.reclaims.clone();
         // What was taken back before it came is no concern of its.
         reclaims.mark_unchanged();
@@ -223,6 +232,7 @@
             if self.ended || (self.full() && self.asked) {
                 return Ok(());
             }
+            newcomer = newcomer.filter(|_| !self.asked);
             let begun = self.conversation.begun(&self.read);
             if begun {
                 self.partial.get_or_insert_with(Instant::now);
@@ -239,6 +249,12 @@
             let idle = self.asked && !begun;
             let patience = if idle { Duration::ZERO } else { LAST_REQUEST };
             let closes = self.door.closes().map(|at| at.max(self.quiet + patience));
+            let shown_out = async {
+                match &newcomer {
+                    Some(newcomer) => newcomer.notified().await,
+                    None => std::future::pending().await,
+                }
+            };
             tokio::select! {
                 biased;
                 read = self.stream.read_buf(&mut self.read) => {
@@ -251,6 +267,7 @@
                     }
                     return Ok(());
                 }
+                () = shown_out => return Err(Over::Seat(Fault::Refused(self.door.retry_after))),
                 () = sleep_until(closes.unwrap_or(self.came)), if closes.is_some() => return Ok(()),
                 Ok(()) = draining.changed() => {}
                 Ok(()) = reclaims.changed() => {
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -137,6 +137,13 @@
     }
 }
 
+/// Asks whoever has been here longest to leave.
+fn show_out(all: &mut VecDeque<(Instant, Weak<Notify>)>) {
+    if let Some(one) = all.pop_front().and_then(|(_, one)| one.upgrade()) {
+        one.notify_one();
+    }
+}
+
 /// Takes clients in; ends after SIGTERM, once all are answered and no more come.
 pub(crate) async fn accept(mut listeners: Listeners, door: Door) {
     let ids = Arc::new(AtomicU64::new(0));
@@ -148,6 +155,8 @@
     let mut asked = Instant::now();
     // Those who have not said who they are, the longest here first.
     let mut strangers: VecDeque<(Instant, Weak<Notify>)> = VecDeque::new();
+    // Those who have not asked for anything, likewise.
+    let mut newcomers: VecDeque<(Instant, Weak<Notify>)> = VecDeque::new();
     loop {
         let leave = async {
             match leave_at {
@@ -166,12 +175,15 @@
                     }
                     let taken = Arc::strong_count(&seats) - 1;
                     strangers.retain(|(_, stranger)| stranger.strong_count() > 0);
+                    newcomers.retain(|(_, newcomer)| newcomer.strong_count() > 0);
                     let crowded = taken >= door.limit;
-                    let slow = strangers.front().is_some_and(|(came, _)| came.elapsed() >= HELLO);
-                    if strangers.len() >= door.limit / STRANGERS || (crowded && slow) {
-                        if let Some(stranger) = strangers.pop_front().and_then(|(_, s)| s.upgrade()) {
-                            stranger.notify_one();
-                        }
+                    let slow = |all: &VecDeque<(Instant, _)>| {
+                        all.front().is_some_and(|(came, _)| came.elapsed() >= HELLO)
+                    };
+                    if strangers.len() >= door.limit / STRANGERS || (crowded && slow(&strangers)) {
+                        show_out(&mut strangers);
+                    } else if crowded && slow(&newcomers) {
+                        show_out(&mut newcomers);
                     }
                     if taken >= door.limit * TIGHT.0 / TIGHT.1 && asked.elapsed() >= ASKED {
                         asked = Instant::now();
@@ -183,9 +195,12 @@
                         let id = move || RequestId(ids.fetch_add(1, Relaxed));
                         let stranger = Arc::new(Notify::new());
                         strangers.push_back((Instant::now(), Arc::downgrade(&stranger)));
+                        let newcomer = Arc::new(Notify::new());
+                        newcomers.push_back((Instant::now(), Arc::downgrade(&newcomer)));
                         let held = client::Held {
                             seat: Arc::clone(&seats),
                             stranger: Some(stranger),
+                            newcomer: Some(newcomer),
                             _connection: connection,
                             buffers,
                             reclaims: door.reclaims.clone(),
--- a/tests/sockets/memory.rs
+++ b/tests/sockets/memory.rs
@@ -80,3 +80,26 @@
         c3 expect silence 300",
     );
 }
+
+/// Those who begin and do not end hold their seats for long: whoever has asked for nothing yet makes room first.
+#[test]
+fn who_has_asked_for_nothing_makes_room_when_all_seats_are_taken() {
+    play_with(
+        "",
+        1,
+        "
+        c1-22 send startup              # 64 descriptors leave 22 for clients
+        c1-22 expect ready
+        c1-22 send part 10
+        wait 300
+        c23 send startup
+        c23 expect within 500 ready
+        wait 100
+        c23 send read q1 900
+        h1 expect id=q1
+        h1 send value fine primary
+        c23 expect value fine
+        c1 expect within 500 error 53300
+        c1 expect closed",
+    );
+}
