Derive the budget's recalls from its pools instead of queueing them

Seen on reading the change again: the budget queued each recall for whoever fetches them, and in the proxy nobody does; the queue could only grow, in the very part that bounds memory. What is to be given back stands in the pools already. Change: the queue goes, recalls() reads the pools as overdue() does. In the scenarios, what clients of either protocol expect alike (bytes, silence, within) is written once. Assertions stay as they were.

--- a/crates/decisions/src/budget/mod.rs
+++ b/crates/decisions/src/budget/mod.rs
@@ -110,8 +110,6 @@
     /// The purposes as accounts of the whole.
     whole: Pool,
     pools: Vec<Pool>,
-    /// Recalls that nobody has fetched yet.
-    dues: Vec<Due>,
     refusals: [u64; PURPOSES.len()],
     peak: u64,
 }
@@ -146,7 +144,7 @@
             Pool::new(terms.cap, &terms.accounts).map_err(|e| BudgetError::Purpose(*purpose, e))
         });
         let pools = pools.collect::<Result<_, _>>()?;
-        let tree = Tree { whole, pools, dues: Vec::new(), refusals: [0; PURPOSES.len()], peak: 0 };
+        let tree = Tree { whole, pools, refusals: [0; PURPOSES.len()], peak: 0 };
         Ok(Self(Arc::new(Mutex::new(tree))))
     }
 
@@ -202,9 +200,9 @@
         self.tree().refusals[purpose as usize]
     }
 
-    /// What has to be given back and has not been told yet.
+    /// What has to be given back, by whatever time.
     pub fn recalls(&self) -> Vec<Due> {
-        std::mem::take(&mut self.tree().dues)
+        self.overdue(Time(i64::MAX))
     }
 
     /// What was to be given back by now and was not: it may be taken.
@@ -234,9 +232,7 @@
         let mut recalls = Vec::new();
         let mut tree = self.tree();
         let resized = tree.pools[purpose as usize].resize(cap, now, &mut recalls);
-        resized.map_err(|e| BudgetError::Purpose(purpose, e))?;
-        tree.note(purpose, &recalls);
-        Ok(())
+        resized.map_err(|e| BudgetError::Purpose(purpose, e))
     }
 }
 
@@ -245,16 +241,11 @@
         let mut recalls = Vec::new();
         let pool = &mut self.pools[purpose as usize];
         if let Err(refusal) = pool.take(of, bytes, now, &mut recalls) {
-            self.note(purpose, &recalls);
             self.refusals[purpose as usize] += 1;
             return Err(Refused { purpose, whole: false, refusal });
         }
         if let Err(refusal) = self.whole.take(account(purpose), bytes, now, &mut recalls) {
             self.pools[purpose as usize].give(of, bytes);
-            for recall in recalls {
-                let purpose = PURPOSES[recall.account.0];
-                self.dues.push(Due { purpose, account: None, bytes: recall.bytes, by: recall.by });
-            }
             self.refusals[purpose as usize] += 1;
             return Err(Refused { purpose, whole: true, refusal });
         }
@@ -262,11 +253,6 @@
         Ok(())
     }
 
-    fn note(&mut self, purpose: Purpose, recalls: &[Recall]) {
-        let due = |r: &Recall| Due { purpose, account: Some(r.account), bytes: r.bytes, by: r.by };
-        self.dues.extend(recalls.iter().map(due));
-    }
-
     fn give(&mut self, purpose: Purpose, of: AccountId, bytes: u64) {
         self.pools[purpose as usize].give(of, bytes);
         self.whole.give(account(purpose), bytes);
--- a/tests/sockets/scenario/mod.rs
+++ b/tests/sockets/scenario/mod.rs
@@ -517,32 +517,44 @@
     }
 }
 
-fn client_expects(stream: &mut TcpStream, what: &str) {
+/// What a client of either protocol may expect: whether it was this, and is as expected. `again` expects the rest.
+fn expects_either(stream: &mut TcpStream, what: &str, again: fn(&mut TcpStream, &str)) -> bool {
     let (kind, rest) = what.split_once(' ').unwrap_or((what, ""));
     match kind {
         "bytes" => {
             let mut heard = vec![0; rest.len() / 2];
             stream.read_exact(&mut heard).unwrap();
-            return assert_eq!(heard, unhex(rest));
-        }
-        "N" => {
-            let mut byte = [0];
-            stream.read_exact(&mut byte).unwrap();
-            return assert_eq!(&byte, b"N");
+            assert_eq!(heard, unhex(rest));
         }
-        "closed" => return assert!(read_message(stream).is_none(), "the connection is still open"),
         "silence" => {
             stream.set_read_timeout(Some(Duration::from_millis(rest.parse().unwrap()))).unwrap();
             let heard = stream.peek(&mut [0]);
             assert!(heard.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock));
-            return stream.set_read_timeout(Some(PATIENCE)).unwrap();
+            stream.set_read_timeout(Some(PATIENCE)).unwrap();
         }
         "within" => {
             let (ms, what) = rest.split_once(' ').unwrap();
             stream.set_read_timeout(Some(Duration::from_millis(ms.parse().unwrap()))).unwrap();
-            client_expects(stream, what);
-            return stream.set_read_timeout(Some(PATIENCE)).unwrap();
+            again(stream, what);
+            stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        }
+        _ => return false,
+    }
+    true
+}
+
+fn client_expects(stream: &mut TcpStream, what: &str) {
+    if expects_either(stream, what, client_expects) {
+        return;
+    }
+    let (kind, rest) = what.split_once(' ').unwrap_or((what, ""));
+    match kind {
+        "N" => {
+            let mut byte = [0];
+            stream.read_exact(&mut byte).unwrap();
+            return assert_eq!(&byte, b"N");
         }
+        "closed" => return assert!(read_message(stream).is_none(), "the connection is still open"),
         _ => {}
     }
     let mut raw = Vec::new();
--- a/tests/sockets/scenario/tds.rs
+++ b/tests/sockets/scenario/tds.rs
@@ -1,10 +1,9 @@
 //! TDS for the scenarios, on both sides of the proxy: what a client sends and expects, what a host says.
 
-use super::{unhex, unix_ms, PATIENCE};
+use super::{expects_either, unhex, unix_ms};
 use bytes::BytesMut;
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::time::Duration;
 use wheelpier_tds::*;
 
 fn packed(kind: PacketType, payload: &[u8]) -> Vec<u8> {
@@ -103,36 +102,18 @@
 }
 
 pub fn client_expects(stream: &mut TcpStream, what: &str) {
-    let (kind, rest) = what.split_once(' ').unwrap_or((what, ""));
-    match kind {
-        "closed" => {
-            let end = stream.read(&mut [0]);
-            return assert!(
-                matches!(end, Ok(0)) || end.is_err_and(|e| e.kind() != std::io::ErrorKind::WouldBlock)
-            );
-        }
-        "silence" => {
-            stream.set_read_timeout(Some(Duration::from_millis(rest.parse().unwrap()))).unwrap();
-            let heard = stream.peek(&mut [0]);
-            assert!(heard.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock));
-            return stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        }
-        "within" => {
-            let (ms, what) = rest.split_once(' ').unwrap();
-            stream.set_read_timeout(Some(Duration::from_millis(ms.parse().unwrap()))).unwrap();
-            client_expects(stream, what);
-            return stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        }
-        "bytes" => {
-            let mut heard = vec![0; rest.len() / 2];
-            stream.read_exact(&mut heard).unwrap();
-            return assert_eq!(heard, unhex(rest));
-        }
-        _ => {}
+    if expects_either(stream, what, client_expects) {
+        return;
+    }
+    if what == "closed" {
+        let end = stream.read(&mut [0]);
+        return assert!(
+            matches!(end, Ok(0)) || end.is_err_and(|e| e.kind() != std::io::ErrorKind::WouldBlock)
+        );
     }
     let (packet, content) = read(stream).unwrap_or_else(|| panic!("closed instead of {what}"));
     assert_eq!(packet, 4);
-    if kind == "prelogin" {
+    if what == "prelogin" {
         let server = Prelogin::parse(&content).unwrap();
         return assert_eq!((server.encryption, server.mars), (Encryption::NotSupported, false));
     }
