Ask an overbooked discovery in spread turns, and wait for the turn

Checked: all asked in the same 20 ms after a start, then each about once a second; who had a place in the queue (up to 2 s long) gave it up after 1 s, so its turn was spent on nobody.

At fault: src/net/discovery.rs, CALL = 1 s and a back-off to 1 s without chance, whatever the number of proxies.

Change: membership::Asking in the decisions draws when to ask from the seed, the number of routers and whether the list is on request; where it is pushed nothing changes but a little chance in the waits.

--- /dev/null
+++ b/crates/decisions/src/membership/asking.rs
@@ -0,0 +1,59 @@
+//! When a proxy asks discovery, as one of many that ask the same.
+//!
+//! Where a list must be asked for, discovery is one service with a fixed capacity. It guards against a fleet that
+//! asks in step and against one that gives up while its calls still wait in the queue: both keep a discovery that
+//! is overbooked from ever telling anybody anything. The sockets and the calls themselves are left to the caller.
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+
+/// The first wait after a failure, and the longest of a single proxy.
+const BACK_OFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+/// A call that has not been answered by then is held to be lost, where nothing queues.
+const CALL: Duration = Duration::from_secs(1);
+/// What one call may take of discovery: a fleet that asks anew together leaves this much for each of its proxies.
+/// A measured discovery served some 21 calls a second (`docs/measurements/003-large-fleet.md`).
+const SLOT: Duration = Duration::from_millis(50);
+/// How often the fleet's spread is doubled while discovery keeps failing.
+const DOUBLINGS: u32 = 2;
+/// The longest spread: a proxy that has not asked for longer is deemed told by the settings' usual `askWithin`.
+const SPREAD: Duration = Duration::from_secs(10);
+
+/// Draws the moments at which one proxy asks discovery.
+#[derive(Debug)]
+pub struct Asking {
+    fleet: Duration,
+    failures: u32,
+    random: ChaCha8Rng,
+}
+
+impl Asking {
+    /// The asking of one among `routers` proxies. Where the list is pushed (`on_request` is false) calls cost
+    /// nothing, and the number of proxies does not matter.
+    pub fn new(routers: u32, on_request: bool, seed: u64) -> Self {
+        let others = if on_request { routers.saturating_sub(1) } else { 0 };
+        Self { fleet: SLOT * others, failures: 0, random: ChaCha8Rng::seed_from_u64(seed) }
+    }
+
+    /// How long to wait before the first call of a proxy that already holds a list: many start together.
+    pub fn first(&mut self) -> Duration {
+        self.fleet.min(SPREAD).mul_f64(self.random.random())
+    }
+
+    /// How long a call may go unanswered. It may wait in a queue behind all other proxies' calls, and one that is
+    /// given up there has cost its turn all the same.
+    pub fn patience(&self) -> Duration {
+        CALL + self.fleet.min(SPREAD)
+    }
+
+    /// How long to wait after a watch or a call has failed. `told` says that it told something before.
+    pub fn after_failure(&mut self, told: bool) -> Duration {
+        self.failures = if told { 0 } else { self.failures + 1 };
+        let alone = BACK_OFF.0 * 2u32.saturating_pow(self.failures).min(1 << 10);
+        let fleet = self.fleet * (1 << self.failures.saturating_sub(1).min(DOUBLINGS));
+        let wait = alone.min(BACK_OFF.1).max(fleet.min(SPREAD));
+        // Between a half and the whole of what follows: whoever failed together does not ask together.
+        wait.mul_f64(self.random.random_range(0.5..1.0))
+    }
+}
--- /dev/null
+++ b/crates/decisions/tests/asking.rs
@@ -0,0 +1,92 @@
+//! A fleet that asks one discovery of fixed capacity, in virtual time.
+
+use std::collections::{BinaryHeap, VecDeque};
+use std::{cmp::Reverse, time::Duration};
+use wheelpier_decisions::membership::Asking;
+
+/// Serves calls in turn, one each 50 ms; one that would wait longer than 2 s fails at once.
+const SERVES: Duration = Duration::from_millis(50);
+const QUEUE: usize = 40;
+
+/// The next call that is due by now.
+fn pop_due(
+    due: &mut BinaryHeap<Reverse<(Duration, usize)>>,
+    now: Duration,
+) -> Option<Reverse<(Duration, usize)>> {
+    due.peek().filter(|Reverse((at, _))| *at <= now)?;
+    due.pop()
+}
+
+/// When each proxy was told, if all ask anew from nothing; the last of them. `None`: not all within a minute.
+fn last_told(routers: u32, on_request: bool, first: bool) -> Option<Duration> {
+    let mut fleet: Vec<Asking> = (0..routers).map(|n| Asking::new(routers, on_request, n.into())).collect();
+    let mut due = BinaryHeap::new();
+    for (n, asking) in fleet.iter_mut().enumerate() {
+        let at = if first { asking.first() } else { Duration::ZERO };
+        due.push(Reverse((at, n)));
+    }
+    // Who waits, until when it does, and who was told.
+    let mut queue: VecDeque<(usize, Duration)> = VecDeque::new();
+    let mut told = vec![false; fleet.len()];
+    let mut now = Duration::ZERO;
+    while now < Duration::from_secs(60) {
+        now += SERVES;
+        while let Some(Reverse((at, n))) = pop_due(&mut due, now) {
+            if queue.len() < QUEUE {
+                queue.push_back((n, at + fleet[n].patience()));
+            } else {
+                due.push(Reverse((now + fleet[n].after_failure(false), n)));
+            }
+        }
+        let Some((n, until)) = queue.pop_front() else { continue };
+        if now <= until {
+            told[n] = true;
+        } else {
+            due.push(Reverse((until.max(now) + fleet[n].after_failure(false), n)));
+        }
+        if told.iter().all(|told| *told) {
+            return Some(now);
+        }
+    }
+    None
+}
+
+#[test]
+fn a_fleet_that_starts_together_is_told_in_about_the_time_that_discovery_needs() {
+    let last = last_told(100, true, true).expect("all are told");
+    assert!(last < Duration::from_secs(20), "{last:?}");
+}
+
+#[test]
+fn a_fleet_that_loses_its_watch_together_is_told_soon_after() {
+    let last = last_told(100, true, false).expect("all are told");
+    assert!(last < Duration::from_secs(30), "{last:?}");
+}
+
+#[test]
+fn the_same_fleet_asking_as_if_each_were_alone_is_not() {
+    assert_eq!(last_told(100, false, false), None);
+}
+
+#[test]
+fn a_few_proxies_ask_as_promptly_as_ever() {
+    let mut asking = Asking::new(4, true, 7);
+    assert!(asking.first() <= Duration::from_millis(150));
+    assert!((0..20).all(|_| asking.after_failure(false) <= Duration::from_secs(1)));
+    let mut pushed = Asking::new(100, false, 7);
+    assert_eq!((pushed.first(), pushed.patience()), (Duration::ZERO, Duration::from_secs(1)));
+}
+
+#[test]
+fn whoever_failed_together_does_not_ask_together() {
+    let waits = |n| {
+        let mut asking = Asking::new(100, true, n);
+        (asking.after_failure(true), asking.after_failure(false))
+    };
+    let (mut first, mut second): (Vec<_>, Vec<_>) = (0..100).map(waits).unzip();
+    for waits in [&mut first, &mut second] {
+        waits.sort();
+        let most = waits.windows(11).map(|w| w[10] - w[0]).min().unwrap_or_default();
+        assert!(most > Duration::from_millis(80), "ten proxies ask within {most:?}");
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -24,6 +24,9 @@
     /// The form of the log, which goes to standard error.
     #[arg(long, env = "GW_LOG", value_enum, default_value = "text", global = true)]
     log: LogForm,
+    /// Logs each event that the decisions are told and each action they answer with, a line each.
+    #[arg(long, env = "GW_TRACE", global = true)]
+    trace: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Subcommand)]
@@ -59,7 +62,7 @@
 /// Runs the program as its arguments and its environment say.
 pub fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    log(arguments.log);
+    log(arguments.log, arguments.trace);
     match run(&arguments) {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
@@ -69,12 +72,12 @@
     }
 }
 
-fn log(form: LogForm) {
+fn log(form: LogForm, trace: bool) {
     let lines = tracing_subscriber::fmt()
         .with_writer(io::stderr)
         .with_ansi(false)
         .with_target(false)
-        .with_max_level(LevelFilter::INFO);
+        .with_max_level(if trace { LevelFilter::TRACE } else { LevelFilter::INFO });
     match form {
         LogForm::Text => lines.init(),
         LogForm::Json => lines.json().init(),
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -351,8 +351,11 @@
         self.next.push_back(told);
         while let Some(told) = self.next.pop_front() {
             let mut actions = std::mem::take(&mut self.actions);
-            self.router.handle(self.clock.now(), told, &mut actions);
+            let now = self.clock.now();
+            tracing::trace!(at = now.0, "told {told:?}");
+            self.router.handle(now, told, &mut actions);
             for action in actions.drain(..) {
+                tracing::trace!(at = now.0, "does {action:?}");
                 self.act(action).await;
             }
             self.actions = actions;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -2,6 +2,7 @@
 
 use super::messages::Event;
 use crate::listing::RawListing;
+use crate::membership::Asking;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper_util::rt::TokioIo;
@@ -14,9 +15,6 @@
 /// The watch sends an empty line every 2 s; after this silence it is held to be dead. What discovery has to
 /// tell counts as told after 6 s at the latest, so one more try must fit in.
 const SILENCE: Duration = Duration::from_millis(3_000);
-/// A call answers at once: the address belongs to an agent on the same machine.
-const CALL: Duration = Duration::from_millis(1_000);
-const BACK_OFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(1_000));
 /// A longer line is no list of hosts.
 const MOST_LINE: usize = 4 << 20;
 
@@ -41,30 +39,33 @@
 }
 
 /// Follows the list for ever, from a version on, at whatever address holds at the time; ends when nobody
-/// listens any more.
+/// listens any more. When it asks is for `asking` to say.
 pub(crate) async fn follow(
     mut address: watch::Receiver<SocketAddr>,
     zones: Vec<String>,
     mut since: Option<u64>,
+    mut asking: Asking,
     events: mpsc::Sender<Event>,
 ) {
-    let mut wait = BACK_OFF.0;
+    if since.is_some() {
+        sleep(asking.first()).await;
+    }
     loop {
         let before = since;
         let at = *address.borrow_and_update();
         let attempt = async {
-            let Err(problem) = watch(at, &zones, &mut since, &events).await else { return false };
+            let Err(problem) = watch(at, &zones, &mut since, asking.patience(), &events).await else {
+                return false;
+            };
             tracing::warn!("discovery: {problem}");
-            // A watch that told something was a good one.
-            wait = if since != before { BACK_OFF.0 } else { (wait * 2).min(BACK_OFF.1) };
-            sleep(wait).await;
+            sleep(asking.after_failure(since != before)).await;
             true
         };
         // A new address goes before whatever the old one does, its silence included: what it has to tell
         // counts as told 4 s later.
         tokio::select! {
             goes_on = attempt => if !goes_on { return },
-            Ok(()) = address.changed() => wait = BACK_OFF.0,
+            Ok(()) = address.changed() => {}
         }
     }
 }
@@ -74,14 +75,16 @@
     address: SocketAddr,
     zones: &[String],
     since: &mut Option<u64>,
+    patience: Duration,
     events: &mpsc::Sender<Event>,
 ) -> Result<(), ListError> {
     let silent = |_| ListError::Silent;
-    let stream = timeout(CALL, TcpStream::connect(address)).await.map_err(silent)??;
+    let stream = timeout(patience, TcpStream::connect(address)).await.map_err(silent)??;
     stream.set_nodelay(true)?;
-    let (mut sender, connection) = timeout(CALL, hyper::client::conn::http1::handshake(TokioIo::new(stream)))
-        .await
-        .map_err(silent)??;
+    let (mut sender, connection) =
+        timeout(patience, hyper::client::conn::http1::handshake(TokioIo::new(stream)))
+            .await
+            .map_err(silent)??;
     let connection = tokio::spawn(connection);
     let _guard = AbortOnDrop(connection.abort_handle());
     let path = match since {
@@ -90,7 +93,7 @@
     };
     let request = hyper::Request::get(path).header("host", address.to_string());
     let request = request.body(Empty::<Bytes>::new()).map_err(|_| ListError::Ended)?;
-    let answer = timeout(CALL, sender.send_request(request)).await.map_err(silent)??;
+    let answer = timeout(patience, sender.send_request(request)).await.map_err(silent)??;
     if !answer.status().is_success() {
         return Err(ListError::Status(answer.status()));
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -15,6 +15,7 @@
 use crate::budget::Budget;
 use crate::config::Config;
 use crate::counters::Counters;
+use crate::membership::Asking;
 use crate::protocol::Protocol;
 use frontend::Listeners;
 use memory::Memory;
@@ -114,7 +115,8 @@
             memory.clone(),
         );
         let core = core.map_err(io::Error::other)?;
-        let follower = tokio::spawn(discovery::follow(discovery, zones, since, events));
+        let asking = Asking::new(config.settings.routers, config.settings.on_request, config.seed);
+        let follower = tokio::spawn(discovery::follow(discovery, zones, since, asking, events));
         let watcher = tokio::spawn(memory.watch(reclaims));
         let mut front = tokio::spawn(frontend::accept(listeners, door));
         let mut core = tokio::spawn(core.run(mailbox));
