Let requests ask instead of probes, and copy nothing for lateness, as one of many

Ruled out: probes at the start (900 of 30,000) and copies for silent hosts.

At fault: policy.rs, pick's 'behind' and probe, whose gap grows with the routers but not with what each sees; try_again's 'calm', which is the fleet's sum of what each router thinks is spare.

Change: where hosts check reads and all answers tell the position, and no class may run only once unproven, one of many routers asks with the request: a wrong guess is turned away untouched and tells as much (Fit::Guess, and not again within 300 ms or a quarter of the lag). Copies for lateness need the calmer a group the more routers there are. Six routers or fewer decide as before.

--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -26,6 +26,8 @@
 /// so many routers; beyond, the gap grows with them.
 const PROBE_GAP_US: i64 = 100_000;
 const PROBERS: i64 = 6;
+/// A host that was heard of as not what a request needs is guessed at again after this.
+const GUESS_US: i64 = 300_000;
 /// A host that failed rests this long, doubled with each further failure up to the second figure.
 const REST_US: (i64, i64) = (300_000, 3_000_000);
 /// A host that errs in more than this part of its answers, and so many times as often as the others, is tried
@@ -67,6 +69,8 @@
     /// A replica that checks reads itself and is likely to have caught up.
     Likely,
     Primary,
+    /// Nothing speaks for it, but its answer, which turns a wrong guess away untouched, will tell.
+    Guess,
 }
 
 #[derive(Debug, Default)]
@@ -504,9 +508,7 @@
             }
             (Some((Role::Primary, _)), _) if recent => return Some(Fit::Primary),
             // Where nobody can be asked, the next member is tried: a miss costs a write nothing.
-            (_, Freshness::Write) if !self.can_ask() => {
-                return (!open.missed.contains(&id)).then_some(Fit::Primary);
-            }
+            (_, Freshness::Write) if !self.can_ask() => return self.guess(id, host, open),
             (_, Freshness::Write) => return None,
             _ => {}
         }
@@ -521,7 +523,25 @@
         // An old host that was never heard of is as likely as any: a wrong guess costs a miss.
         let unheard = host.heard.is_none() && host.started.is_none();
         let likely = unheard || self.likely(host).0.saturating_add(wait / 2) >= need.0;
-        (likely && !self.is_primary(host)).then_some(Fit::Likely)
+        match likely && !self.is_primary(host) {
+            true => Some(Fit::Likely),
+            false if self.can_ask() => None,
+            false => self.guess(id, host, open),
+        }
+    }
+
+    /// Instead of a probe, the request itself: a wrong guess is turned away untouched, and its answer tells.
+    /// Not where a primary is known that may answer, nor where the same was heard just now.
+    fn guess(&self, id: HostId, host: &Host, open: &Open) -> Option<Fit> {
+        let write = self.needs_primary(open);
+        let known = write && self.primary(open.group).is_some_and(|p| !self.rests(&self.hosts[&p]));
+        let told = match (write, host.role, host.heard) {
+            (true, Some((_, at)), _) => at,
+            (false, _, Some(at)) => at,
+            _ => return (!known && !open.missed.contains(&id)).then_some(Fit::Guess),
+        };
+        let gap = GUESS_US.max(if write { 0 } else { (told.0 - host.known.0) / 4 });
+        (!known && self.now.0 - told.0 >= gap).then_some(Fit::Guess)
     }
 
     fn needs_primary(&self, open: &Open) -> bool {
@@ -917,8 +937,9 @@
         let Some((_, attempt)) = self.out.range((id, 0)..=(id, u32::MAX)).next() else { return };
         let host = self.hosts.get(&attempt.host);
         let silent = host.is_some_and(|h| h.failures > 0);
-        // Where all is late a copy only adds to it.
-        let calm = self.lateness(open.group, host.is_some_and(|h| self.is_primary(h))) < self.full_at();
+        // Where all is late a copy only adds to it, and many routers each see too little to tell.
+        let calm = self.full_at() * (PROBERS as f64 / f64::from(self.s.routers)).min(1.0);
+        let calm = self.lateness(open.group, host.is_some_and(|h| self.is_primary(h))) < calm;
         let late = calm && (self.now.0 - attempt.sent.0) as f64 > LATE * self.pace[open.class].mean;
         let may = self.s.second_copies && self.s.classes[open.class].repeat != Repeat::Unsafe;
         if !may || attempt.dropped || !(late || silent) || self.retry_budget < 1.0 {
@@ -956,8 +977,12 @@
 
     // ---- Probes and timers -----------------------------------------------------------------------------
 
+    /// Many routers that each ask every host cost hosts more than their requests, where these tell as much.
     fn can_ask(&self) -> bool {
-        self.s.may_probe && self.s.reports != Reports::Off
+        let tells = self.s.answers_stamped && self.checks_reads().is_some();
+        let harmless = tells && self.s.classes.iter().all(|c| c.repeat != Repeat::Unsafe);
+        let instead = harmless && i64::from(self.s.routers) > PROBERS;
+        self.s.may_probe && self.s.reports != Reports::Off && !instead
     }
 
     /// Asks a member by need; whether its answer is now awaited. Many routers together ask no more often than
--- /dev/null
+++ b/crates/decisions/tests/many.rs
@@ -0,0 +1,99 @@
+//! What a router does otherwise as one of many. Each test fails without its guard.
+
+mod common;
+use common::*;
+use wheelpier_decisions::*;
+
+/// One of a hundred before hosts that check reads themselves and whose answers tell where they stand.
+fn one_of(routers: u32) -> Settings {
+    let mut settings = Settings { routers, when_behind: WhenBehind::Wait(Time(20 * MS)), ..settings() };
+    // What must not be repeated cannot ask a host with itself.
+    settings.classes[3].repeat = Repeat::Keyed(KeyScope::Group);
+    settings
+}
+
+/// Every router probing every member costs the hosts more than their requests: 0.8 probes for each request
+/// were seen. The request itself tells as much.
+#[test]
+fn many_routers_let_the_write_find_the_primary_instead_of_probing() {
+    let mut world = World::new(one_of(100), 4);
+    let (id, mut actions) = world.ask(5, None);
+    let mut asked = Vec::new();
+    for _ in 0..4 {
+        let to = sends(&actions);
+        assert_eq!((to.len(), probes(&actions)), (1, Vec::new()));
+        asked.push(to[0]);
+        if to[0] == 0 {
+            world.reply(id, 0, Outcome::Ok, Some(Role::Primary));
+            break;
+        }
+        actions = world.reply(id, to[0], Outcome::Miss, Some(Role::Replica));
+    }
+    let found = *asked.last().unwrap();
+    assert_eq!(found, 0, "asked {asked:?}");
+    // The next one goes straight there.
+    assert_eq!(sends(&world.ask(5, None).1), [0]);
+}
+
+#[test]
+fn a_few_routers_probe_for_the_primary_as_ever() {
+    let mut world = World::new(one_of(3), 4);
+    let (_, actions) = world.ask(5, None);
+    assert_eq!((sends(&actions), probes(&actions)), (vec![], vec![0, 1, 2, 3]));
+}
+
+/// A host that turned a write away is not asked again by each write that comes, nor never: its group may
+/// make it the primary.
+#[test]
+fn a_member_that_is_no_primary_is_guessed_at_again_only_later() {
+    let mut world = World::new(one_of(100), 2);
+    let (id, actions) = world.ask(5, None);
+    let first = sends(&actions)[0];
+    let second = sends(&world.reply(id, first, Outcome::Miss, Some(Role::Replica)))[0];
+    world.reply(id, second, Outcome::Miss, Some(Role::Replica));
+    assert!(sends(&world.wait(200)).is_empty());
+    assert!(!sends(&world.wait(200)).is_empty());
+}
+
+/// A read that no replica is known to be fresh enough for asks one with itself, and not one heard of just now.
+#[test]
+fn a_read_asks_a_replica_that_was_behind_a_while_ago_without_a_probe() {
+    let mut world = World::new(one_of(100), 3);
+    for n in 0..3 {
+        let role = if n == 0 { Role::Primary } else { Role::Replica };
+        world.probed(n, report(world.now - if n == 0 { 0 } else { 1_000 * MS }, role));
+    }
+    // The primary is late, so that it is spared.
+    for _ in 0..6 {
+        let (id, _) = world.ask(4, None);
+        world.attempt(id, 0, 0, Outcome::Ok, 900 * MS);
+    }
+    let (_, actions) = world.ask(2, None);
+    assert!(sends(&actions).iter().all(|host| *host == 0) && probes(&actions).is_empty());
+    world.now += 400 * MS;
+    let later: Vec<u32> = (0..4).flat_map(|_| sends(&world.ask(2, None).1)).collect();
+    assert!(later.iter().any(|host| *host != 0), "{later:?}");
+    assert!(probes(&world.wait(200)).is_empty());
+}
+
+/// Some answers are always late: copies of all of them, from every router, are load that nobody sees coming.
+#[test]
+fn one_of_many_sends_no_copy_for_lateness_alone() {
+    for (routers, copies) in [(3, true), (100, false)] {
+        let mut world = World::known(one_of(routers), 4);
+        for _ in 0..20 {
+            let (id, actions) = world.ask(0, None);
+            world.attempt(id, 0, sends(&actions)[0], Outcome::Ok, 50 * MS);
+        }
+        let (_, actions) = world.ask(0, None);
+        assert_eq!(sends(&actions).len(), 1);
+        // All others answer meanwhile, the one that is late too.
+        let mut more = Vec::new();
+        for _ in 0..40 {
+            more.extend(world.wait(10));
+            let (id, actions) = world.ask(0, None);
+            world.attempt(id, 0, sends(&actions)[0], Outcome::Ok, 50 * MS);
+        }
+        assert_eq!(!sends(&more).is_empty(), copies, "{routers} routers");
+    }
+}
