Leave out hosts by their own lateness, and give cold ones the share that is drawn for them

Change: a host's own lateness leaves it out of reads by chance, from 0.35 of the aim on, where there are more than six routers; a group's admission is then for what is late beyond that (1.5 of the aim). A drawn cold host goes first, and the most members at once count. load::Faded weighs samples by the time between them. Idle connections are kept where handshakes have a price (new in the settings, 0 if absent). A read guesses twice. What a setting says by itself (waits, warmth, shortest aim) moves to Settings to make room.

--- a/crates/decisions/src/check.rs
+++ b/crates/decisions/src/check.rs
@@ -108,6 +108,7 @@
             price_cross_zone: 0.0,
             price_probe: 0.0,
             price_waste: 0.0,
+            price_handshake: 0.0,
         }
     }
 }
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -166,6 +166,49 @@
     pub price_cross_zone: f64,
     pub price_probe: f64,
     pub price_waste: f64,
+    pub price_handshake: f64,
+}
+
+/// Up to so many routers each meet every host all the time: their own limits and probes hold for a fleet of them.
+pub const FEW: u32 = 6;
+
+impl Settings {
+    /// How long a host that is too far behind for a read waits for the log, in microseconds, before it turns the
+    /// read away; nothing where it answers from what it has.
+    pub fn checks_reads(&self) -> Option<i64> {
+        match self.when_behind {
+            WhenBehind::Off => None,
+            WhenBehind::Refuse => Some(0),
+            WhenBehind::Wait(wait) => Some(wait.0),
+        }
+    }
+
+    /// Part of its capacity, between 0 and 1, that a host has at the least so long after its start.
+    pub fn warmth(&self, age: Time) -> f64 {
+        let age = age.0 as f64 / self.cold.0.max(1) as f64;
+        self.cold_from + (1.0 - self.cold_from) * age.clamp(0.0, 1.0)
+    }
+
+    /// Latency, in parts of the aim, from which on a group lets requests in by chance only. A few routers hold
+    /// back by their limits, the sooner the fewer they are; many leave out single hosts instead, and what is late
+    /// on the mean of a group is then late beyond that (`docs/measurements/003-large-fleet.md`).
+    pub fn full_at(&self) -> f64 {
+        if self.is_many() {
+            1.5
+        } else {
+            0.5 + 3.0 / f64::from(self.routers)
+        }
+    }
+
+    /// Whether the routers are so many that one's own requests tell it little of a single host.
+    pub fn is_many(&self) -> bool {
+        self.routers > FEW
+    }
+
+    /// The shortest aim of all classes, in microseconds.
+    pub fn shortest_aim(&self) -> i64 {
+        self.classes.iter().map(|class| class.aim.0).min().unwrap_or(0)
+    }
 }
 
 /// A setting that is not sensible.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod budget;
 pub mod check;
 pub mod interface;
+pub mod load;
 pub mod membership;
 mod policy;
 pub mod settings;
--- /dev/null
+++ b/crates/decisions/src/load/mod.rs
@@ -0,0 +1,5 @@
+//! What is known of loads and faults, and how fast that grows old. What follows from it is the module's to decide.
+
+mod faded;
+
+pub use faded::Faded;
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -6,6 +6,7 @@
 
 use crate::check::check;
 use crate::interface::*;
+use crate::load::Faded;
 use crate::state::sessions::Sessions;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -25,13 +26,12 @@
 /// The same host is not probed again for a need sooner than this: reports are not renewed much faster. Up to
 /// so many routers; beyond, the gap grows with them.
 const PROBE_GAP_US: i64 = 100_000;
-const PROBERS: i64 = 6;
+const PROBERS: i64 = FEW as i64;
 /// A host that was heard of as not what a request needs is guessed at again after this.
 const GUESS_US: i64 = 300_000;
 /// A host that failed rests this long, doubled with each further failure up to the second figure.
 const REST_US: (i64, i64) = (300_000, 3_000_000);
-/// A host that errs in more than this part of its answers, and so many times as often as the others, is tried
-/// last; without new errors that is forgotten in this time.
+/// A host that errs in more than this part of its answers, and so much oftener than the others, goes last.
 const ERRING: (f64, f64) = (0.15, 3.0);
 const ERRORS_FADE_US: f64 = 3e6;
 /// A host that turned a write away gets none for so long: a handover takes longer than all attempts together.
@@ -46,10 +46,15 @@
 const LIMIT: (f64, f64) = (16.0, 3.0);
 /// A limit is cut by this factor on a crowded answer and raised by the second figure on a good one.
 const LIMIT_STEP: (f64, f64) = (0.8, 1.05);
-/// Latency, in parts of the aim, from which on requests are let in by chance only.
-const FULL_AT: f64 = 0.5;
+/// Latency, in parts of the aim, from which on a primary is spared reads, and any host left out by chance
+/// where many routers meet (`docs/measurements/003-large-fleet.md`).
+const SPARED_AT: f64 = 0.5;
+const OVERFULL_AT: f64 = 0.35;
+const LATE_FADES_US: f64 = 3e6;
 /// Without new samples that latency is forgotten in this time.
 const CROWD_FADES_US: f64 = 6e6;
+/// The least weight of a new sample of it.
+const CROWD_GAIN: f64 = 0.25;
 /// Further attempts for each first one, and the most saved up: retries must not double a load.
 const RETRY_BUDGET: (f64, f64) = (0.1, 10.0);
 /// Part of the cold budget that is used: other routers' chance and the odd costly request need the rest.
@@ -95,8 +100,10 @@
     slowness: f64,
     /// When it last turned a write away.
     declined: Option<Time>,
-    /// Part of its answers that were errors, as of then.
-    errs: (f64, Time),
+    /// Latency in parts of the aim.
+    late: Faded,
+    /// Part of its answers that were errors.
+    errs: Faded,
     failures: u32,
     rests_until: Time,
     probed: Option<Time>,
@@ -159,8 +166,10 @@
     pace: Vec<Pace>,
     /// What each customer asked of late.
     asked: Vec<f64>,
-    /// Latency in parts of the aim and when last heard, by group, at its primary (true) or its replicas.
-    crowd: BTreeMap<(u32, bool), (f64, Time)>,
+    /// Latency in parts of the aim, by group, at its primary (true) or its replicas.
+    crowd: BTreeMap<(u32, bool), Faded>,
+    /// The most members that a group has had at once.
+    sizes: BTreeMap<u32, usize>,
     /// The usual priority of reads, and of writes.
     usual: [f64; 2],
     sessions: Sessions,
@@ -184,6 +193,7 @@
             pace: settings.classes.iter().map(|c| pace(c.aim.0 as f64)).collect(),
             asked: settings.quotas.clone(),
             crowd: BTreeMap::new(),
+            sizes: BTreeMap::new(),
             usual: [0.0; 2],
             rng: seed ^ 0x9E37_79B9_7F4A_7C15,
             now: Time(0),
@@ -220,7 +230,7 @@
         }
         let held = self.open.values().any(|open| open.out == 0);
         // What is out is looked after at leisure: hundreds of routers must not live on timers.
-        let after = if held { LOOK_US } else { self.shortest_aim() / 8 };
+        let after = if held { LOOK_US } else { self.s.shortest_aim() / 8 };
         let at = Time(now.0 + after.max(self.s.tick.0));
         if (!self.open.is_empty() || self.watch_again.is_some()) && self.look_at.is_none_or(|old| at < old) {
             self.look_at = Some(at);
@@ -266,6 +276,10 @@
             host.leader = e.leader;
         }
         self.started = true;
+        for (group, ids) in &self.groups {
+            let listed = ids.iter().filter(|id| self.hosts[id].listed != HostState::Deleted).count();
+            self.sizes.entry(*group).and_modify(|most| *most = listed.max(*most)).or_insert(listed);
+        }
         self.forget_gone();
         self.dispatch_all(actions);
     }
@@ -473,14 +487,6 @@
         host.listed == HostState::Running || (dropped && self.s.removal_not_binding)
     }
 
-    fn checks_reads(&self) -> Option<i64> {
-        match self.s.when_behind {
-            WhenBehind::Off => None,
-            WhenBehind::Refuse => Some(0),
-            WhenBehind::Wait(wait) => Some(wait.0),
-        }
-    }
-
     /// The position that this read needs if it is sent now.
     fn need(&self, open: &Open) -> Position {
         match self.s.classes[open.class].freshness {
@@ -519,7 +525,7 @@
         {
             return Some(Fit::Proven);
         }
-        let wait = self.checks_reads()?;
+        let wait = self.s.checks_reads()?;
         // An old host that was never heard of is as likely as any: a wrong guess costs a miss.
         let unheard = host.heard.is_none() && host.started.is_none();
         let likely = unheard || self.likely(host).0.saturating_add(wait / 2) >= need.0;
@@ -540,8 +546,9 @@
             (false, _, Some(at)) => at,
             _ => return (!known && !open.missed.contains(&id)).then_some(Fit::Guess),
         };
-        let gap = GUESS_US.max(if write { 0 } else { (told.0 - host.known.0) / 4 });
-        (!known && self.now.0 - told.0 >= gap).then_some(Fit::Guess)
+        let gap = GUESS_US.max(if write { 0 } else { (told.0 - host.known.0) / 2 });
+        let tired = known || (!write && open.missed.len() > 1);
+        (!tired && self.now.0 - told.0 >= gap).then_some(Fit::Guess)
     }
 
     fn needs_primary(&self, open: &Open) -> bool {
@@ -590,7 +597,7 @@
         aside.sort_unstable();
         aside.truncate((aside.len() / FROZEN_PART).max(1));
         let errs = self.usual_errors(open.group);
-        let mut best: Option<((bool, Fit, u32, f64), HostId)> = None;
+        let mut best: Option<(_, HostId)> = None;
         let mut behind = Vec::new();
         for (host_id, host) in self.members(open.group) {
             let Some(fit) = self.fit(host_id, open) else {
@@ -605,6 +612,7 @@
                 || (sick && (write || healthy))
                 || f64::from(host.in_flight) >= host.limit.max(1.0)
                 || (spared && self.spares_primary(open))
+                || (!write && self.overfull(host_id, host, open))
                 || !(aside.is_empty() || aside.contains(&host_id))
             {
                 continue;
@@ -613,8 +621,11 @@
             let cross = if near { 0.0 } else { self.s.price_cross_zone * class.aim.0 as f64 };
             let chance = 0.75 + 0.5 * Self::luck(open, host_id.0, 1 + u64::from(open.attempts));
             let cost = self.pace[open.class].mean * host.slowness * chance + cross;
-            let last = sick || self.errs(host) > errs || open.erred.contains(&host_id);
-            let key = (last, fit, host.in_flight, cost);
+            let last =
+                sick || host.errs.read(self.now, ERRORS_FADE_US) > errs || open.erred.contains(&host_id);
+            // A cold host has its share by chance already: what it was drawn for is not drawn for again.
+            let drawn = self.warmth(host, self.now.0 - self.s.fall.0) < 1.0;
+            let key = (last, fit, !drawn, host.in_flight, cost);
             if best.as_ref().is_none_or(|(other, _)| key < *other) {
                 best = Some((key, host_id));
             }
@@ -625,7 +636,7 @@
         let primary = self.primary(open.group).filter(|p| write && self.hosts[p].failures == 0);
         if !write {
             behind.sort_by_key(|id| self.hosts[id].probed);
-            behind.truncate(usize::from(self.checks_reads().is_some()));
+            behind.truncate(usize::from(self.s.checks_reads().is_some()));
         }
         for id in primary.map_or(behind, |p| vec![p]).into_iter().filter(|_| !proven) {
             self.hosts.entry(id).and_modify(|host| host.wanted = true);
@@ -633,32 +644,32 @@
         best.map(|(_, host)| host)
     }
 
+    /// Where one request of each router is too much for a host: by chance, the more the later it was.
+    fn overfull(&self, id: HostId, host: &Host, open: &Open) -> bool {
+        let late = host.late.read(self.now, LATE_FADES_US) / OVERFULL_AT;
+        self.s.is_many() && Self::luck(open, id.0, 2) * late * late > 1.0
+    }
+
     /// The primary is for the writes: by chance, it takes the fewer reads the later it answers, and half of
     /// them while nothing is known of it, until they have waited for a replica in vain.
     fn spares_primary(&self, open: &Open) -> bool {
-        let at = self.crowd.get(&(open.group, true)).map_or(Time(0), |c| c.1);
-        let unknown = 1.0 - Self::kept(self.now, at);
+        let at = self.crowd.get(&(open.group, true)).map_or(Time(0), Faded::heard);
+        let unknown = 1.0 - Faded::kept(self.now, at, CROWD_FADES_US);
         let waited = (self.now.0 - open.arrived.0) as f64 * 4.0 / self.s.classes[open.class].aim.0 as f64;
-        let late = self.lateness(open.group, true) / FULL_AT;
+        let late = self.lateness(open.group, true) / SPARED_AT;
         Self::luck(open, 0, 0) < late + unknown * (0.5 - waited).max(0.0)
     }
 
     /// Part of its capacity that a host had at the least at that time; 1 once it is warm.
     fn warmth(&self, host: &Host, at: i64) -> f64 {
-        let Some(started) = host.started else { return 1.0 };
-        let age = (at - started.0) as f64 / self.s.cold.0.max(1) as f64;
-        self.s.cold_from + (1.0 - self.s.cold_from) * age.clamp(0.0, 1.0)
+        host.started.map_or(1.0, |started| self.s.warmth(Time(at - started.0)))
     }
 
     /// A read that any data will do for and that is given far more time than others is long, and a replica
     /// applies nothing while it holds one. Presumed: a router that sees one a minute cannot wait for proof.
     fn freezes(&self, class: usize) -> bool {
         let class = &self.s.classes[class];
-        class.freshness == Freshness::Any && class.aim.0 / 4 > self.shortest_aim()
-    }
-
-    fn shortest_aim(&self) -> i64 {
-        self.s.classes.iter().map(|c| c.aim.0).min().unwrap_or(0)
+        class.freshness == Freshness::Any && class.aim.0 / 4 > self.s.shortest_aim()
     }
 
     /// Sends what is held for a group, the most worth for its work first.
@@ -693,7 +704,7 @@
     fn awaits_probe(&mut self, id: RequestId, actions: &mut Vec<Action>) -> bool {
         let Some(open) = self.open.get(&id) else { return false };
         let need = self.need(open);
-        let asks = self.can_ask() && self.checks_reads().is_none() && !self.needs_primary(open);
+        let asks = self.can_ask() && self.s.checks_reads().is_none() && !self.needs_primary(open);
         if need.0 == i64::MIN || !asks {
             return false;
         }
@@ -750,24 +761,13 @@
         let usual = &mut self.usual[usize::from(write)];
         *usual += GAIN * (priority - *usual);
         let usual = usual.max(1e-9);
-        let late = self.lateness(open.group, write) / self.full_at();
+        let late = self.lateness(open.group, write) / self.s.full_at();
         late <= 1.0 || Self::luck(open, 0, 0) * late * late < priority / usual
     }
 
-    /// A few routers hold back by their limits; chance is for those whose limits cannot fall far enough.
-    fn full_at(&self) -> f64 {
-        FULL_AT * (1.0 + PROBERS as f64 / f64::from(self.s.routers))
-    }
-
     /// Latency of late at a group's primary or replicas, in parts of the aims.
     fn lateness(&self, group: u32, primary: bool) -> f64 {
-        let (late, at) = self.crowd.get(&(group, primary)).copied().unwrap_or_default();
-        late * Self::kept(self.now, at)
-    }
-
-    /// What is left of evidence from then.
-    fn kept(now: Time, at: Time) -> f64 {
-        (-((now.0 - at.0).max(0) as f64) / CROWD_FADES_US).exp()
+        self.crowd.get(&(group, primary)).map_or(0.0, |late| late.read(self.now, CROWD_FADES_US))
     }
 
     /// Part of the worth that a request of this customer has: the whole within its share. A router knows its
@@ -825,11 +825,10 @@
         let aim = self.s.classes[attempt.class].aim.0 as f64;
         let floor = (LIMIT.1 / f64::from(self.s.routers)).max(1.0);
         let latency = r.latency.0 as f64;
-        let errs = self.hosts.get(&attempt.host).map_or(0.0, |h| self.errs(h));
         let Some(host) = self.hosts.get_mut(&attempt.host) else { return };
         if matches!(r.outcome, Outcome::Ok | Outcome::Error) {
             let erred = f64::from(u8::from(r.outcome == Outcome::Error));
-            host.errs = (errs + GAIN * (erred - errs), self.now);
+            host.errs.learn(self.now, erred, GAIN, ERRORS_FADE_US);
         }
         host.in_flight = host.in_flight.saturating_sub(1);
         if self.s.classes[attempt.class].freshness == Freshness::Write {
@@ -862,10 +861,8 @@
         if matches!(r.outcome, Outcome::Ok | Outcome::Full | Outcome::Timeout) {
             let sample = if r.outcome == Outcome::Full { 2.0 } else { (latency / aim).min(3.0) };
             let key = (host.group, matches!(host.role, Some((Role::Primary, _))));
-            let (late, at) = self.crowd.entry(key).or_default();
-            // The longer nothing was heard, the more the new sample counts.
-            let kept = Self::kept(self.now, *at).min(0.75);
-            (*late, *at) = (kept * *late + (1.0 - kept) * sample, self.now);
+            host.late.learn(self.now, sample, CROWD_GAIN, LATE_FADES_US);
+            self.crowd.entry(key).or_default().learn(self.now, sample, CROWD_GAIN, CROWD_FADES_US);
         }
         if r.outcome == Outcome::Full || (crowded && matches!(r.outcome, Outcome::Ok | Outcome::Timeout)) {
             host.limit = (host.limit * LIMIT_STEP.0).max(floor);
@@ -882,11 +879,11 @@
     }
 
     /// A host that answers but takes no connection is full of idle ones, ours too: they are let go, and for a
-    /// while each after its answer. Costs handshakes where the host has really died.
+    /// while each after its answer. Costs handshakes where the host has really died: not if these cost worth.
     fn make_room(&mut self, r: &Reply, actions: &mut Vec<Action>) {
         let squeezed = self.squeezed.is_some_and(|at| self.now.0 - at.0 < REST_US.1);
         let serves = self.hosts.get(&r.host).is_some_and(|h| h.alive.is_some());
-        if r.outcome == Outcome::ConnectFailed && serves {
+        if r.outcome == Outcome::ConnectFailed && serves && self.s.price_handshake <= 0.0 {
             self.squeezed = Some(self.now);
             if !squeezed {
                 let idle = self.hosts.iter().filter(|(_, h)| h.in_flight == 0 && h.alive.is_some());
@@ -900,14 +897,13 @@
     /// A host that fails at once looks idle and would draw everything: it is tried after the others, unless
     /// all err alike.
     fn usual_errors(&self, group: u32) -> f64 {
-        let errs = self.members(group).filter(|(_, h)| self.usable(h)).map(|(_, h)| self.errs(h));
+        let errs = self
+            .members(group)
+            .filter(|(_, h)| self.usable(h))
+            .map(|(_, h)| h.errs.read(self.now, ERRORS_FADE_US));
         ERRING.0.max(ERRING.1 * errs.fold(f64::MAX, f64::min))
     }
 
-    fn errs(&self, host: &Host) -> f64 {
-        host.errs.0 * (-((self.now.0 - host.errs.1 .0) as f64) / ERRORS_FADE_US).exp()
-    }
-
     fn failed(&mut self, id: HostId, rest: i64) {
         let Some(host) = self.hosts.get_mut(&id) else { return };
         host.failures += 1;
@@ -938,7 +934,7 @@
         let host = self.hosts.get(&attempt.host);
         let silent = host.is_some_and(|h| h.failures > 0);
         // Where all is late a copy only adds to it, and many routers each see too little to tell.
-        let calm = self.full_at() * (PROBERS as f64 / f64::from(self.s.routers)).min(1.0);
+        let calm = self.s.full_at() * (PROBERS as f64 / f64::from(self.s.routers)).min(1.0);
         let calm = self.lateness(open.group, host.is_some_and(|h| self.is_primary(h))) < calm;
         let late = calm && (self.now.0 - attempt.sent.0) as f64 > LATE * self.pace[open.class].mean;
         let may = self.s.second_copies && self.s.classes[open.class].repeat != Repeat::Unsafe;
@@ -961,8 +957,8 @@
         if part >= 1.0 {
             return true;
         }
-        // All it ever had count: the last member left would otherwise draw the whole group's reads.
-        let members = self.groups.get(&open.group).map_or(1, Vec::len);
+        // The most at once count: the last member left would otherwise draw the whole group's reads.
+        let members = self.sizes.get(&open.group).copied().unwrap_or(1);
         let takers = if self.needs_primary(open) { 1 } else { members };
         let share = COLD_SAFETY * self.s.fall_multiple * part / takers.max(1) as f64;
         Self::luck(open, id.0, 0) < share
@@ -979,9 +975,9 @@
 
     /// Many routers that each ask every host cost hosts more than their requests, where these tell as much.
     fn can_ask(&self) -> bool {
-        let tells = self.s.answers_stamped && self.checks_reads().is_some();
+        let tells = self.s.answers_stamped && self.s.checks_reads().is_some();
         let harmless = tells && self.s.classes.iter().all(|c| c.repeat != Repeat::Unsafe);
-        let instead = harmless && i64::from(self.s.routers) > PROBERS;
+        let instead = harmless && self.s.is_many();
         self.s.may_probe && self.s.reports != Reports::Off && !instead
     }
 
@@ -994,9 +990,9 @@
         };
         let gap = PROBE_GAP_US * i64::from(self.s.routers).max(PROBERS) / PROBERS;
         let gap = match self.primary(host.group) {
-            Some(primary) if primary == id || self.checks_reads().is_none() => PROBE_GAP_US,
+            Some(primary) if primary == id || self.s.checks_reads().is_none() => PROBE_GAP_US,
             Some(_) => gap,
-            None => gap.min(self.shortest_aim()),
+            None => gap.min(self.s.shortest_aim()),
         };
         let now = self.now;
         let early = host.heard == Some(now) || host.probed.is_some_and(|at| now.0 - at.0 < gap);
--- a/crates/decisions/src/settings.rs
+++ b/crates/decisions/src/settings.rs
@@ -183,6 +183,7 @@
     cross_zone: f64,
     probe: f64,
     waste: f64,
+    handshake: f64,
 }
 
 #[derive(Deserialize, Default)]
@@ -306,6 +307,7 @@
         price_cross_zone: p.prices.cross_zone,
         price_probe: p.prices.probe,
         price_waste: p.prices.waste,
+        price_handshake: p.prices.handshake,
     };
     Ok((settings, reading))
 }
