Leave hosts out from a fifth of the aim on, as the fleet in virtual time shows

Seen: in the laboratory's fleet 100 routers serve nearly as much as 4 after a loss, but late: 3,883 price-lookups served, 2,074 in time (4: 4,275 and 3,922): hosts' queues are too long, not the admission too strict. The tally now tells by class what was asked, in time, served, and turned away untried.

At fault: OVERFULL_AT = 0.35 in policy.rs: a mean of a third of the aim has a tenth of the answers beyond it.

The fleet test's bounds rise: 0.58 and 0.53 fail at 0.35.

--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -49,7 +49,7 @@
 /// Latency, in parts of the aim, from which on a primary is spared reads, and any host left out by chance
 /// where many routers meet (`docs/measurements/003-large-fleet.md`).
 const SPARED_AT: f64 = 0.5;
-const OVERFULL_AT: f64 = 0.35;
+const OVERFULL_AT: f64 = 0.2;
 const LATE_FADES_US: f64 = 3e6;
 /// Without new samples that latency is forgotten in this time.
 const CROWD_FADES_US: f64 = 6e6;
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -64,6 +64,8 @@
     pub served: u64,
     /// Refused or failed.
     pub turned_away: u64,
+    /// By class: requests asked, served within the aim, served at all, and turned away untried.
+    pub classes: BTreeMap<usize, [u64; 4]>,
     /// Attempts by host.
     pub sends: BTreeMap<usize, u64>,
     /// Attempts by host and second, from the start.
@@ -289,6 +291,7 @@
         let class = &self.day.spec.classes[planned.class];
         let wait = class.deadline;
         self.tally.asked += 1;
+        self.tally.classes.entry(planned.class).or_default()[0] += 1;
         self.world.ask(&planned.id, &planned.session);
         self.nodes[at].checker.asked(&planned.id, self.now + wait);
         self.nodes[at].open.insert(n as u64, self.now + wait);
@@ -313,7 +316,13 @@
         let aim = self.day.spec.classes[planned.class].aim;
         self.tally.served += u64::from(served);
         self.tally.turned_away += u64::from(!served);
-        self.tally.in_time += u64::from(served && self.now - START - planned.at <= aim);
+        let in_time = served && self.now - START - planned.at <= aim;
+        self.tally.in_time += u64::from(in_time);
+        let untried = !served && !self.nodes[router].attempts.contains_key(&id);
+        let of = self.tally.classes.entry(planned.class).or_default();
+        of[1] += u64::from(in_time);
+        of[2] += u64::from(served);
+        of[3] += u64::from(untried);
     }
 
     // ---- Proxies ---------------------------------------------------------------------------------------
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -67,8 +67,8 @@
 #[rstest]
 #[case::calm(none, 0.93)]
 #[case::release(release, 0.85)]
-#[case::zone(zone, 0.5)]
-#[case::replacement(replacement, 0.45)]
+#[case::zone(zone, 0.58)]
+#[case::replacement(replacement, 0.53)]
 fn a_hundred_do_to_their_hosts_what_four_do(
     #[case] incidents: fn(usize) -> Vec<(Micros, Incident)>,
     #[case] least: f64,
@@ -96,6 +96,7 @@
         many.copies,
         many.misses
     );
+    println!("4: {:?} 100: {:?}", few.classes, many.classes);
     kept(&few);
     kept(&many);
     assert!(many.part_in_time() >= least, "{:.3}", many.part_in_time());
