Ask a new discovery address without the back-off that the old one had earned

A watch that fails right after SIGHUP could wait a second, and what it tells counts as told 4 s later.

Change: Asking::anew; the wait before the first call is the loop's one wait, so that a new address cuts that short too.

--- a/crates/decisions/src/membership/asking.rs
+++ b/crates/decisions/src/membership/asking.rs
@@ -47,6 +47,11 @@
         CALL + self.fleet.min(SPREAD)
     }
 
+    /// Discovery is to be asked elsewhere: what failed before says nothing of that.
+    pub fn anew(&mut self) {
+        self.failures = 0;
+    }
+
     /// How long to wait after a watch or a call has failed. `told` says that it told something before.
     pub fn after_failure(&mut self, told: bool) -> Duration {
         self.failures = if told { 0 } else { self.failures + 1 };
--- a/crates/decisions/tests/asking.rs
+++ b/crates/decisions/tests/asking.rs
@@ -90,3 +90,12 @@
         assert!(most > Duration::from_millis(80), "ten proxies ask within {most:?}");
     }
 }
+
+#[test]
+fn failures_elsewhere_do_not_slow_a_new_address() {
+    let mut asking = Asking::new(4, false, 7);
+    (0..10).for_each(|_| _ = asking.after_failure(false));
+    assert!(asking.after_failure(false) >= Duration::from_millis(500));
+    asking.anew();
+    assert!(asking.after_failure(false) <= Duration::from_millis(100));
+}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -47,25 +47,28 @@
     mut asking: Asking,
     events: mpsc::Sender<Event>,
 ) {
-    if since.is_some() {
-        sleep(asking.first()).await;
-    }
+    // Whoever holds no list yet asks at once.
+    let mut wait = since.map_or(Duration::ZERO, |_| asking.first());
     loop {
         let before = since;
         let at = *address.borrow_and_update();
         let attempt = async {
+            sleep(wait).await;
             let Err(problem) = watch(at, &zones, &mut since, asking.patience(), &events).await else {
                 return false;
             };
             tracing::warn!("discovery: {problem}");
-            sleep(asking.after_failure(since != before)).await;
+            wait = asking.after_failure(since != before);
             true
         };
         // A new address goes before whatever the old one does, its silence included: what it has to tell
         // counts as told 4 s later.
         tokio::select! {
             goes_on = attempt => if !goes_on { return },
-            Ok(()) = address.changed() => {}
+            Ok(()) = address.changed() => {
+                asking.anew();
+                wait = Duration::ZERO;
+            }
         }
     }
 }
