Name each threshold once, and keep what settings say apart from what is decided

Change: FEW alone, Settings::crowding for how many times more routers there are; full_at back in the module with named figures, and can_ask, which follows from the settings alone, with them; errs and warmth serve both callers; Faded::kept is asked of the mean itself; guess has one end; sizes are forgotten with their groups.

--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -1,4 +1,5 @@
-//! What the router is told and what it answers. Types only; every decision is in `policy.rs`.
+//! What the router is told and what it answers. Types, and what follows from the settings alone; every
+//! decision is in `policy.rs`.
 
 use std::fmt;
 
@@ -189,22 +190,24 @@
         self.cold_from + (1.0 - self.cold_from) * age.clamp(0.0, 1.0)
     }
 
-    /// Latency, in parts of the aim, from which on a group lets requests in by chance only. A few routers hold
-    /// back by their limits, the sooner the fewer they are; many leave out single hosts instead, and what is late
-    /// on the mean of a group is then late beyond that (`docs/measurements/003-large-fleet.md`).
-    pub fn full_at(&self) -> f64 {
-        if self.is_many() {
-            1.5
-        } else {
-            0.5 + 3.0 / f64::from(self.routers)
-        }
-    }
-
     /// Whether the routers are so many that one's own requests tell it little of a single host.
     pub fn is_many(&self) -> bool {
         self.routers > FEW
     }
 
+    /// Whether hosts may be asked by probes. Many routers that each ask every host cost hosts more than their
+    /// requests, and do not where these tell as much and a wrong guess does no harm.
+    pub fn can_ask(&self) -> bool {
+        let tells = self.answers_stamped && self.checks_reads().is_some();
+        let harmless = self.classes.iter().all(|class| class.repeat != Repeat::Unsafe);
+        self.may_probe && self.reports != Reports::Off && !(tells && harmless && self.is_many())
+    }
+
+    /// How many times more routers there are than a few: 1 at the least.
+    pub fn crowding(&self) -> f64 {
+        f64::from(self.routers.max(FEW)) / f64::from(FEW)
+    }
+
     /// The shortest aim of all classes, in microseconds.
     pub fn shortest_aim(&self) -> i64 {
         self.classes.iter().map(|class| class.aim.0).min().unwrap_or(0)
--- a/crates/decisions/src/load/faded.rs
+++ b/crates/decisions/src/load/faded.rs
@@ -11,28 +11,23 @@
 }
 
 impl Faded {
-    /// What is left at `now` of evidence from `then`, between 0 and 1, if it fades in `span` microseconds.
-    pub fn kept(now: Time, then: Time, span: f64) -> f64 {
-        (-((now.0 - then.0).max(0) as f64) / span).exp()
+    /// What is left at `now` of the last sample, between 0 and 1, if it fades in `span` microseconds.
+    pub fn kept(&self, now: Time, span: f64) -> f64 {
+        (-((now.0 - self.at.0).max(0) as f64) / span).exp()
     }
 
     /// The mean as it stands at `now`, fading in `span` microseconds.
     pub fn read(&self, now: Time, span: f64) -> f64 {
-        self.value * Self::kept(now, self.at, span)
+        self.value * self.kept(now, span)
     }
 
     /// Takes a sample. It weighs `least` at the least, and the more the longer nothing was heard: what is older
     /// than `span` microseconds is all but forgotten.
     pub fn learn(&mut self, now: Time, sample: f64, least: f64, span: f64) {
-        let gain = least.max(1.0 - Self::kept(now, self.at, span));
+        let gain = least.max(1.0 - self.kept(now, span));
         self.value += gain * (sample - self.value);
         self.at = now;
     }
-
-    /// When the last sample came.
-    pub fn heard(&self) -> Time {
-        self.at
-    }
 }
 
 #[cfg(test)]
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -23,10 +23,9 @@
 const AHEAD_US: i64 = 10_000;
 /// A primary heard of longer ago than this is asked again before a write: failovers take longer than that.
 const EVIDENCE_US: i64 = 1_000_000;
-/// The same host is not probed again for a need sooner than this: reports are not renewed much faster. Up to
-/// so many routers; beyond, the gap grows with them.
+/// The same host is not probed again for a need sooner than this: reports are not renewed much faster. Where
+/// routers are many the gap grows with them.
 const PROBE_GAP_US: i64 = 100_000;
-const PROBERS: i64 = FEW as i64;
 /// A host that was heard of as not what a request needs is guessed at again after this.
 const GUESS_US: i64 = 300_000;
 /// A host that failed rests this long, doubled with each further failure up to the second figure.
@@ -46,8 +45,9 @@
 const LIMIT: (f64, f64) = (16.0, 3.0);
 /// A limit is cut by this factor on a crowded answer and raised by the second figure on a good one.
 const LIMIT_STEP: (f64, f64) = (0.8, 1.05);
-/// Latency, in parts of the aim, from which on a primary is spared reads, and any host left out by chance
-/// where many routers meet (`docs/measurements/003-large-fleet.md`).
+/// Latency, in parts of the aim, from which on requests are let in by chance only, by many routers and by a
+/// few; a primary is spared reads; and any host is left out by chance by many (`docs/measurements/003-*`).
+const FULL_AT: (f64, f64) = (1.5, 0.5);
 const SPARED_AT: f64 = 0.5;
 const OVERFULL_AT: f64 = 0.2;
 const LATE_FADES_US: f64 = 3e6;
@@ -294,6 +294,7 @@
             let hosts = &self.hosts;
             self.groups.values_mut().for_each(|ids| ids.retain(|id| hosts.contains_key(id)));
             self.groups.retain(|_, ids| !ids.is_empty());
+            self.sizes.retain(|group, _| self.groups.contains_key(group));
         }
     }
 
@@ -514,7 +515,7 @@
             }
             (Some((Role::Primary, _)), _) if recent => return Some(Fit::Primary),
             // Where nobody can be asked, the next member is tried: a miss costs a write nothing.
-            (_, Freshness::Write) if !self.can_ask() => return self.guess(id, host, open),
+            (_, Freshness::Write) if !self.s.can_ask() => return self.guess(id, host, open),
             (_, Freshness::Write) => return None,
             _ => {}
         }
@@ -531,7 +532,7 @@
         let likely = unheard || self.likely(host).0.saturating_add(wait / 2) >= need.0;
         match likely && !self.is_primary(host) {
             true => Some(Fit::Likely),
-            false if self.can_ask() => None,
+            false if self.s.can_ask() => None,
             false => self.guess(id, host, open),
         }
     }
@@ -541,14 +542,13 @@
     fn guess(&self, id: HostId, host: &Host, open: &Open) -> Option<Fit> {
         let write = self.needs_primary(open);
         let known = write && self.primary(open.group).is_some_and(|p| !self.rests(&self.hosts[&p]));
-        let told = match (write, host.role, host.heard) {
-            (true, Some((_, at)), _) => at,
-            (false, _, Some(at)) => at,
-            _ => return (!known && !open.missed.contains(&id)).then_some(Fit::Guess),
+        let told = if write { host.role.map(|(_, at)| at) } else { host.heard };
+        let lag = told.filter(|_| !write).map_or(0, |at| at.0 - host.known.0);
+        let due = match told {
+            Some(at) => self.now.0 - at.0 >= GUESS_US.max(lag / 2) && (write || open.missed.len() < 2),
+            None => !open.missed.contains(&id),
         };
-        let gap = GUESS_US.max(if write { 0 } else { (told.0 - host.known.0) / 2 });
-        let tired = known || (!write && open.missed.len() > 1);
-        (!tired && self.now.0 - told.0 >= gap).then_some(Fit::Guess)
+        (due && !known).then_some(Fit::Guess)
     }
 
     fn needs_primary(&self, open: &Open) -> bool {
@@ -621,10 +621,9 @@
             let cross = if near { 0.0 } else { self.s.price_cross_zone * class.aim.0 as f64 };
             let chance = 0.75 + 0.5 * Self::luck(open, host_id.0, 1 + u64::from(open.attempts));
             let cost = self.pace[open.class].mean * host.slowness * chance + cross;
-            let last =
-                sick || host.errs.read(self.now, ERRORS_FADE_US) > errs || open.erred.contains(&host_id);
+            let last = sick || self.errs(host) > errs || open.erred.contains(&host_id);
             // A cold host has its share by chance already: what it was drawn for is not drawn for again.
-            let drawn = self.warmth(host, self.now.0 - self.s.fall.0) < 1.0;
+            let drawn = self.warmth(host) < 1.0;
             let key = (last, fit, !drawn, host.in_flight, cost);
             if best.as_ref().is_none_or(|(other, _)| key < *other) {
                 best = Some((key, host_id));
@@ -653,16 +652,17 @@
     /// The primary is for the writes: by chance, it takes the fewer reads the later it answers, and half of
     /// them while nothing is known of it, until they have waited for a replica in vain.
     fn spares_primary(&self, open: &Open) -> bool {
-        let at = self.crowd.get(&(open.group, true)).map_or(Time(0), Faded::heard);
-        let unknown = 1.0 - Faded::kept(self.now, at, CROWD_FADES_US);
+        let unknown =
+            1.0 - self.crowd.get(&(open.group, true)).map_or(0.0, |c| c.kept(self.now, CROWD_FADES_US));
         let waited = (self.now.0 - open.arrived.0) as f64 * 4.0 / self.s.classes[open.class].aim.0 as f64;
         let late = self.lateness(open.group, true) / SPARED_AT;
         Self::luck(open, 0, 0) < late + unknown * (0.5 - waited).max(0.0)
     }
 
-    /// Part of its capacity that a host had at the least at that time; 1 once it is warm.
-    fn warmth(&self, host: &Host, at: i64) -> f64 {
-        host.started.map_or(1.0, |started| self.s.warmth(Time(at - started.0)))
+    /// Part of its capacity that a host had at the least as the cold budget's window began; 1 once it is warm.
+    fn warmth(&self, host: &Host) -> f64 {
+        let began = self.now.0 - self.s.fall.0;
+        host.started.map_or(1.0, |started| self.s.warmth(Time(began - started.0)))
     }
 
     /// A read that any data will do for and that is given far more time than others is long, and a replica
@@ -704,7 +704,7 @@
     fn awaits_probe(&mut self, id: RequestId, actions: &mut Vec<Action>) -> bool {
         let Some(open) = self.open.get(&id) else { return false };
         let need = self.need(open);
-        let asks = self.can_ask() && self.s.checks_reads().is_none() && !self.needs_primary(open);
+        let asks = self.s.can_ask() && self.s.checks_reads().is_none() && !self.needs_primary(open);
         if need.0 == i64::MIN || !asks {
             return false;
         }
@@ -761,10 +761,18 @@
         let usual = &mut self.usual[usize::from(write)];
         *usual += GAIN * (priority - *usual);
         let usual = usual.max(1e-9);
-        let late = self.lateness(open.group, write) / self.s.full_at();
+        let late = self.lateness(open.group, write) / self.full_at();
         late <= 1.0 || Self::luck(open, 0, 0) * late * late < priority / usual
     }
 
+    /// A few routers hold back by their limits; many leave out single hosts, and a group is late beyond that.
+    fn full_at(&self) -> f64 {
+        match self.s.is_many() {
+            true => FULL_AT.0,
+            false => FULL_AT.1 * (1.0 + f64::from(FEW) / f64::from(self.s.routers)),
+        }
+    }
+
     /// Latency of late at a group's primary or replicas, in parts of the aims.
     fn lateness(&self, group: u32, primary: bool) -> f64 {
         self.crowd.get(&(group, primary)).map_or(0.0, |late| late.read(self.now, CROWD_FADES_US))
@@ -897,13 +905,14 @@
     /// A host that fails at once looks idle and would draw everything: it is tried after the others, unless
     /// all err alike.
     fn usual_errors(&self, group: u32) -> f64 {
-        let errs = self
-            .members(group)
-            .filter(|(_, h)| self.usable(h))
-            .map(|(_, h)| h.errs.read(self.now, ERRORS_FADE_US));
+        let errs = self.members(group).filter(|(_, h)| self.usable(h)).map(|(_, h)| self.errs(h));
         ERRING.0.max(ERRING.1 * errs.fold(f64::MAX, f64::min))
     }
 
+    fn errs(&self, host: &Host) -> f64 {
+        host.errs.read(self.now, ERRORS_FADE_US)
+    }
+
     fn failed(&mut self, id: HostId, rest: i64) {
         let Some(host) = self.hosts.get_mut(&id) else { return };
         host.failures += 1;
@@ -934,7 +943,7 @@
         let host = self.hosts.get(&attempt.host);
         let silent = host.is_some_and(|h| h.failures > 0);
         // Where all is late a copy only adds to it, and many routers each see too little to tell.
-        let calm = self.s.full_at() * (PROBERS as f64 / f64::from(self.s.routers)).min(1.0);
+        let calm = self.full_at() / self.s.crowding();
         let calm = self.lateness(open.group, host.is_some_and(|h| self.is_primary(h))) < calm;
         let late = calm && (self.now.0 - attempt.sent.0) as f64 > LATE * self.pace[open.class].mean;
         let may = self.s.second_copies && self.s.classes[open.class].repeat != Repeat::Unsafe;
@@ -953,7 +962,7 @@
     /// routers that each send next to nothing. One draw for a request and host: looks do not add up. Covers a
     /// whole group that is cold and writes to a cold primary; harms where others would have time to spare.
     fn cold_room(&self, id: HostId, host: &Host, open: &Open) -> bool {
-        let part = self.warmth(host, self.now.0 - self.s.fall.0);
+        let part = self.warmth(host);
         if part >= 1.0 {
             return true;
         }
@@ -973,22 +982,14 @@
 
     // ---- Probes and timers -----------------------------------------------------------------------------
 
-    /// Many routers that each ask every host cost hosts more than their requests, where these tell as much.
-    fn can_ask(&self) -> bool {
-        let tells = self.s.answers_stamped && self.s.checks_reads().is_some();
-        let harmless = tells && self.s.classes.iter().all(|c| c.repeat != Repeat::Unsafe);
-        let instead = harmless && self.s.is_many();
-        self.s.may_probe && self.s.reports != Reports::Off && !instead
-    }
-
     /// Asks a member by need; whether its answer is now awaited. Many routers together ask no more often than
     /// a few do, or a failover costs a storm of probes; but once an aim while no primary is known, and soon
     /// the one that is or where only a proof lets a read go: what waits longer is lost all the same.
     fn probe(&mut self, id: HostId, actions: &mut Vec<Action>) -> bool {
-        let Some(host) = self.hosts.get(&id).filter(|h| self.can_ask() && self.usable(h)) else {
+        let Some(host) = self.hosts.get(&id).filter(|h| self.s.can_ask() && self.usable(h)) else {
             return false;
         };
-        let gap = PROBE_GAP_US * i64::from(self.s.routers).max(PROBERS) / PROBERS;
+        let gap = (PROBE_GAP_US as f64 * self.s.crowding()) as i64;
         let gap = match self.primary(host.group) {
             Some(primary) if primary == id || self.s.checks_reads().is_none() => PROBE_GAP_US,
             Some(_) => gap,
