--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -659,7 +659,7 @@
         Self::luck(open, 0, 0) < late + unknown * (0.5 - waited).max(0.0)
     }
 
-    /// Part of its capacity that a host had at the least as the cold budget's window began; 1 once it is warm.
+    /// Part of its capacity that a host had at the least when the cold budget began; 1 once it is warm.
     fn warmth(&self, host: &Host) -> f64 {
         let began = self.now.0 - self.s.fall.0;
         host.started.map_or(1.0, |started| self.s.warmth(Time(began - started.0)))
