Listen with SO_REUSEPORT so that a second process can start beside the first at an upgrade

At fault: Listeners::bind in src/net/frontend/mod.rs took the address by TcpListener::bind, without sharing.

Change (design): every client listener is made by socket2 with SO_REUSEADDR and SO_REUSEPORT, backlog 1024, so the system deals connections out to old and new process alike. Unit tests: a second listener on a taken address succeeds; one beside a socket that did not ask for sharing still fails with AddrInUse, naming the address.

--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -103,10 +103,10 @@
     ///
     /// # Errors
     /// When one cannot be had; the message names it.
-    pub async fn bind(addresses: &[(Protocol, SocketAddr)]) -> io::Result<Self> {
+    pub fn bind(addresses: &[(Protocol, SocketAddr)]) -> io::Result<Self> {
         let mut all = Vec::with_capacity(addresses.len());
         for (protocol, address) in addresses {
-            let listener = TcpListener::bind(address).await;
+            let listener = shared(*address);
             let listener = listener.map_err(|e| io::Error::new(e.kind(), format!("{address}: {e}")))?;
             all.push((*protocol, listener));
         }
@@ -137,6 +137,24 @@
     }
 }
 
+/// Connections that the system holds for a listener before they are accepted.
+const BACKLOG: i32 = 1024;
+
+/// A listener that a second process of the same user may share (SO_REUSEPORT, Linux socket(7)): at an upgrade
+/// the new process listens beside the old one, and the system deals new connections out to both.
+///
+/// # Errors
+/// When the address cannot be had, also when a process that did not ask for sharing holds it.
+fn shared(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = socket2::Socket::new(socket2::Domain::for_address(address), socket2::Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
 /// Asks whoever has been here longest to leave.
 fn show_out(all: &mut VecDeque<(Instant, Weak<Notify>)>) {
     if let Some(one) = all.pop_front().and_then(|(_, one)| one.upgrade()) {
@@ -224,3 +242,25 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test]
+    async fn a_second_process_can_listen_beside_the_first() {
+        let first = Listeners::bind(&[(Protocol::Postgres, "127.0.0.1:0".parse().unwrap())]).unwrap();
+        let (_, address) = first.addresses().unwrap()[0];
+        let second = Listeners::bind(&[(Protocol::Postgres, address)]);
+        assert_eq!(second.unwrap().addresses().unwrap()[0].1, address);
+    }
+
+    #[tokio::test]
+    async fn a_listener_that_does_not_share_keeps_its_address() {
+        let alone = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = alone.local_addr().unwrap();
+        let refused = Listeners::bind(&[(Protocol::Postgres, address)]).unwrap_err();
+        assert_eq!(refused.kind(), io::ErrorKind::AddrInUse);
+        assert!(refused.to_string().contains(&address.to_string()));
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -55,7 +55,7 @@
     /// # Errors
     /// When one cannot be had.
     pub async fn bind(config: Config) -> io::Result<Self> {
-        let listeners = Listeners::bind(&config.listeners()).await?;
+        let listeners = Listeners::bind(&config.listeners())?;
         let budget = config.plan.budget().map_err(io::Error::other)?;
         Ok(Self { config, listeners, counters: Arc::default(), budget })
     }
