Add the operators' console: health, figures by class, quiesce and resume over HTTP/1.1

Change (design): src/net/console.rs serves one call a connection with hyper's http1 server (keep-alive off, head within 0.8 s, all within 0.95 s, 64 callers at once, more are closed on), on a task of its own that waits for nothing of the module's. What a method and path mean is the pure `call`; 404, 405 and hyper's 400 for the rest. Health is yes while ready and neither quiesced nor draining by SIGTERM; quiesce also makes the empty query say no and closes client connections once idle from 0.4 s on, resume undoes both; the first quiesce's time holds. Counters gain succeeded/declined/aborted by class name, counted where core.rs ends a request; forwards where connection.rs has written an attempt's last byte; discovered and ejected (draining hosts, for now) where the list is taken; outstanding is taken less ended. Not taken: a hand parser (the issue asks for a kept library) and a second runtime thread for the console (the house keeps one).

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -106,6 +106,9 @@
     for (protocol, address) in proxy.addresses()? {
         tracing::info!("{name} listens on {address} ({protocol})");
     }
+    if let Some(address) = proxy.console()? {
+        tracing::info!("{name}'s console listens on {address}");
+    }
     proxy.serve(control).await
 }
 
@@ -132,6 +135,10 @@
         println!("listener     {address} ({protocol})");
     }
     println!("discovery    {}", config.discovery);
+    match config.console {
+        Some(address) => println!("console      {address}"),
+        None => println!("console      none"),
+    }
     println!("connections  {} of clients, {} to ledger hosts", config.limits.clients, config.limits.upstream);
     println!("requests     {} held at most, {} attempts each", config.most_held, config.max_attempts);
     println!("memory       {} accounted for", ByteSize(config.plan.total));
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -74,6 +74,8 @@
     pub operator: Operator,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// Where the operators' console listens (`$GW_CONSOLE`, else the key `console`); none: nowhere.
+    pub console: Option<SocketAddr>,
     /// Seed of the module's random numbers.
     pub seed: u64,
     /// Shares of the descriptors.
@@ -107,6 +109,7 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    console: Option<String>,
     seed: Option<serde_json::Value>,
     #[serde(default)]
     limits: FileLimits,
@@ -181,7 +184,7 @@
     /// # Errors
     /// When something is missing or not sensible.
     pub fn from_env(operator: Operator) -> Result<Self, ConfigError> {
-        let vars = ["GW_CONFIG", "GW_NAME", "GW_LISTEN", "GW_DISCOVERY"];
+        let vars = ["GW_CONFIG", "GW_NAME", "GW_LISTEN", "GW_DISCOVERY", "GW_CONSOLE"];
         let env: HashMap<&str, String> =
             vars.iter().filter_map(|name| Some((*name, std::env::var(name).ok()?))).collect();
         let path = env.get("GW_CONFIG").ok_or_else(|| wrong("GW_CONFIG", "is not set"))?;
@@ -244,6 +247,10 @@
         let listen = address(&listen, key)?;
         let (discovery, key) = given("discovery", env("GW_DISCOVERY"), "GW_DISCOVERY", file.discovery)?;
         let discovery = address(&discovery, key)?;
+        let console =
+            env("GW_CONSOLE").map(|text| (text, "GW_CONSOLE")).or(file.console.map(|t| (t, "console")));
+        let console = console.filter(|(text, _)| !text.is_empty());
+        let console = console.map(|(text, key)| address(&text, key)).transpose()?;
         let seed = seed(file.seed.as_ref())?;
         let text = file.settings.to_string();
         let (settings, reading) = settings::read(&text).map_err(|e| wrong("settings", e))?;
@@ -302,6 +309,7 @@
             name,
             listen,
             discovery,
+            console,
             seed,
             limits: Limits { clients, upstream },
             memory,
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -1,8 +1,10 @@
 //! What the proxy has taken in, sent and answered.
 
 use crate::interface::Outcome;
+use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::Mutex;
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,8 +31,20 @@
     connects: AtomicU64,
     probes: AtomicU64,
     lists: AtomicU64,
+    /// Attempts whose last byte was written to a ledger host.
+    forwards: AtomicU64,
+    /// Served, refused and failed requests by the name of their class.
+    classes: Mutex<BTreeMap<String, [u64; 3]>>,
+    /// Ledger hosts in the list, and those of them that are avoided.
+    discovered: AtomicU64,
+    ejected: AtomicU64,
+    /// Configuration files taken, and turned down, at SIGHUP.
+    sighup: [AtomicU64; 2],
 }
 
+/// The operators' names of the ends that are counted by class, in the order of [`Ended`].
+const DISPOSITIONS: [&str; 3] = ["succeeded", "declined", "aborted"];
+
 const ENDS: [&str; 4] = ["served", "refused", "failed", "left"];
 const OUTCOMES: [&str; 9] =
     ["ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot", "miss"];
@@ -55,9 +69,71 @@
         add(&self.malformed);
     }
 
-    /// A request has ended.
-    pub fn ended(&self, how: Ended) {
+    /// A request of the class of this name has ended.
+    pub fn ended(&self, how: Ended, class: &str) {
         add(&self.ended[how as usize]);
+        // Who left may stand under any count, or none: here under none.
+        let column = how as usize;
+        if column >= DISPOSITIONS.len() {
+            return;
+        }
+        let mut classes = self.classes.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        match classes.get_mut(class) {
+            Some(counts) => counts[column] += 1,
+            None => {
+                let mut counts = [0; 3];
+                counts[column] = 1;
+                classes.insert(class.to_owned(), counts);
+            }
+        }
+    }
+
+    /// Classes that are counted from the start, each at zero until one of its requests ends.
+    pub fn classes<'a>(&self, names: impl IntoIterator<Item = &'a str>) {
+        let mut classes = self.classes.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        for name in names {
+            classes.entry(name.to_owned()).or_default();
+        }
+    }
+
+    /// The last byte of an attempt has been written to a ledger host.
+    pub fn forwarded(&self) {
+        add(&self.forwards);
+    }
+
+    /// The list now names so many ledger hosts, and so many of them are avoided.
+    pub fn listed(&self, discovered: usize, ejected: usize) {
+        self.discovered.store(discovered as u64, Relaxed);
+        self.ejected.store(ejected as u64, Relaxed);
+    }
+
+    /// A configuration file was taken at SIGHUP, or turned down.
+    pub fn sighup(&self, applied: bool) {
+        add(&self.sighup[usize::from(!applied)]);
+    }
+
+    /// The figures in the operators' form, `gw.NAME=VALUE` a line (see `docs/operate/console.md`).
+    pub fn figures(&self) -> String {
+        use fmt::Write;
+        let get = |counter: &AtomicU64| counter.load(Relaxed);
+        let mut out = String::new();
+        let classes = self.classes.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        for (class, counts) in classes.iter() {
+            for (name, count) in DISPOSITIONS.iter().zip(counts) {
+                let _ = writeln!(out, "gw.results.{class}.{name}={count}");
+            }
+        }
+        drop(classes);
+        let ended: u64 = self.ended.iter().map(get).sum();
+        let outstanding = get(&self.taken).saturating_sub(ended);
+        let [applied, rejected] = [get(&self.sighup[0]), get(&self.sighup[1])];
+        let _ = writeln!(out, "gw.forwards={}", get(&self.forwards));
+        let _ = writeln!(out, "gw.outstanding={outstanding}");
+        let _ = writeln!(out, "gw.discovered={}", get(&self.discovered));
+        let _ = writeln!(out, "gw.ejected={}", get(&self.ejected));
+        let _ = writeln!(out, "gw.sighup_applied={applied}");
+        let _ = writeln!(out, "gw.sighup_rejected={rejected}");
+        out
     }
 
     /// An attempt has been handed to a ledger host.
@@ -107,3 +183,58 @@
         write!(f, " connects={connects} probes={probes} lists={lists}")
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn figure(counters: &Counters, name: &str) -> Option<u64> {
+        let text = counters.figures();
+        let line = text.lines().find_map(|line| line.strip_prefix(&format!("gw.{name}=")))?;
+        line.parse().ok()
+    }
+
+    #[test]
+    fn each_class_counts_its_own_ends_under_the_operators_names() {
+        let counters = Counters::default();
+        counters.classes(["read", "write"]);
+        for (how, class) in [(Ended::Served, "read"), (Ended::Served, "read"), (Ended::Refused, "write")] {
+            counters.taken();
+            counters.ended(how, class);
+        }
+        counters.taken();
+        counters.ended(Ended::Failed, "report");
+        assert_eq!(figure(&counters, "results.read.succeeded"), Some(2));
+        assert_eq!(figure(&counters, "results.read.declined"), Some(0));
+        assert_eq!(figure(&counters, "results.write.declined"), Some(1));
+        assert_eq!(figure(&counters, "results.write.succeeded"), Some(0));
+        assert_eq!(figure(&counters, "results.report.aborted"), Some(1));
+        assert_eq!(figure(&counters, "outstanding"), Some(0));
+    }
+
+    #[test]
+    fn what_is_taken_and_not_ended_is_outstanding_and_who_left_is_under_no_class() {
+        let counters = Counters::default();
+        for _ in 0..3 {
+            counters.taken();
+        }
+        counters.ended(Ended::Left, "read");
+        assert_eq!(figure(&counters, "outstanding"), Some(2));
+        assert_eq!(figure(&counters, "results.read.succeeded"), None);
+    }
+
+    #[test]
+    fn forwards_list_and_sighup_are_told_as_they_stand() {
+        let counters = Counters::default();
+        counters.forwarded();
+        counters.listed(12, 3);
+        counters.listed(10, 1);
+        counters.sighup(true);
+        counters.sighup(false);
+        counters.sighup(false);
+        let figures: Vec<_> = ["forwards", "discovered", "ejected", "sighup_applied", "sighup_rejected"]
+            .map(|n| figure(&counters, n))
+            .into();
+        assert_eq!(figures, [Some(1), Some(10), Some(1), Some(1), Some(2)]);
+    }
+}
--- /dev/null
+++ b/src/net/console.rs
@@ -0,0 +1,264 @@
+//! The operators' console: HTTP/1.1, one call a connection, on a port of its own (`docs/operate/console.md`).
+//!
+//! It guards its own callers only: each connection is its own task with its own timer, a bounded number of
+//! them at once, and nothing that it does waits for the module or a ledger host. What a call means is decided
+//! by [`call`], without I/O; the figures are the counters' and the drain's state is the door's.
+
+use crate::counters::Counters;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Method, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{watch, Semaphore};
+use tokio::time::{timeout, Instant};
+
+/// A caller has brought its whole head within this time, or is closed on: every answer is due within 1 s.
+const HEAD: Duration = Duration::from_millis(800);
+/// And is answered, or closed on, within this time of connecting, whatever it does.
+const WHOLE: Duration = Duration::from_millis(950);
+/// Callers served at once; who comes beyond is closed on at once.
+const CALLERS: usize = 64;
+
+/// What a call asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Call {
+    /// `GET /admin/health`: 200 while ready and not drained, else 503.
+    Health,
+    /// `GET /admin/stats`: the figures, `gw.NAME=VALUE` a line.
+    Stats,
+    /// `POST /admin/quiesce`: drain, without ending.
+    Quiesce,
+    /// `POST /admin/resume`: back to work.
+    Resume,
+    /// A known path with another method: 405.
+    WrongMethod,
+    /// Any other path: 404.
+    Unknown,
+}
+
+/// What a method and a path ask for (RFC 9110, sections 15.5.5 and 15.5.6 for the refusals).
+pub(crate) fn call(method: &Method, path: &str) -> Call {
+    let (wanted, call) = match path {
+        "/admin/health" => (Method::GET, Call::Health),
+        "/admin/stats" => (Method::GET, Call::Stats),
+        "/admin/quiesce" => (Method::POST, Call::Quiesce),
+        "/admin/resume" => (Method::POST, Call::Resume),
+        _ => return Call::Unknown,
+    };
+    // HEAD is GET without a body (RFC 9110, section 9.3.2).
+    let head = *method == Method::HEAD && wanted == Method::GET;
+    if *method == wanted || head {
+        call
+    } else {
+        Call::WrongMethod
+    }
+}
+
+/// What the console reads and sets.
+#[derive(Clone, Debug)]
+pub(crate) struct Desk {
+    pub counters: Arc<Counters>,
+    /// Whether the proxy can serve.
+    pub ready: watch::Receiver<bool>,
+    /// Since when it is drained by call; none while it works.
+    pub quiesced: Arc<watch::Sender<Option<Instant>>>,
+    /// Since when SIGTERM drains it.
+    pub draining: watch::Receiver<Option<Instant>>,
+}
+
+impl Desk {
+    /// Whether the empty query and the health call are to hear yes.
+    pub fn healthy(&self) -> bool {
+        *self.ready.borrow() && self.quiesced.borrow().is_none() && self.draining.borrow().is_none()
+    }
+
+    fn answer(&self, call: Call) -> (StatusCode, String) {
+        match call {
+            Call::Health if self.healthy() => (StatusCode::OK, "ok\n".to_owned()),
+            Call::Health => (StatusCode::SERVICE_UNAVAILABLE, "drained or not ready\n".to_owned()),
+            Call::Stats => (StatusCode::OK, self.counters.figures()),
+            Call::Quiesce => {
+                // A second call leaves the first one's time: what it promised holds.
+                self.quiesced.send_if_modified(|since| {
+                    let first = since.is_none();
+                    since.get_or_insert_with(Instant::now);
+                    first
+                });
+                tracing::info!("quiesced by the console");
+                (StatusCode::OK, "quiesced\n".to_owned())
+            }
+            Call::Resume => {
+                self.quiesced.send_if_modified(|since| since.take().is_some());
+                tracing::info!("resumed by the console");
+                (StatusCode::OK, "resumed\n".to_owned())
+            }
+            Call::WrongMethod => (StatusCode::METHOD_NOT_ALLOWED, "wrong method\n".to_owned()),
+            Call::Unknown => (StatusCode::NOT_FOUND, "no such call\n".to_owned()),
+        }
+    }
+}
+
+/// Listens where the configuration says.
+///
+/// # Errors
+/// When the address cannot be had.
+pub(crate) async fn bind(address: std::net::SocketAddr) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|e| io::Error::new(e.kind(), format!("console {address}: {e}")))
+}
+
+/// Answers callers until the task is ended.
+pub(crate) async fn serve(listener: TcpListener, desk: Desk) {
+    let seats = Arc::new(Semaphore::new(CALLERS));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Out of descriptors: who waits is taken a moment later.
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let Ok(seat) = Arc::clone(&seats).try_acquire_owned() else { continue };
+        let desk = desk.clone();
+        tokio::spawn(async move {
+            let _seat = seat;
+            let service = hyper::service::service_fn(move |request: hyper::Request<Incoming>| {
+                let (status, body) = desk.answer(call(request.method(), request.uri().path()));
+                let body = if request.method() == Method::HEAD { String::new() } else { body };
+                let answer = Response::builder()
+                    .status(status)
+                    .header("content-type", "text/plain; charset=utf-8")
+                    .header("connection", "close")
+                    .body(Full::new(Bytes::from(body)));
+                async move { Ok::<_, Infallible>(answer.unwrap_or_default()) }
+            });
+            let connection = hyper::server::conn::http1::Builder::new()
+                .keep_alive(false)
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD)
+                .serve_connection(TokioIo::new(stream), service);
+            let _ = timeout(WHOLE, connection).await;
+        });
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_path_has_its_method() {
+        assert_eq!(call(&Method::GET, "/admin/health"), Call::Health);
+        assert_eq!(call(&Method::HEAD, "/admin/health"), Call::Health);
+        assert_eq!(call(&Method::GET, "/admin/stats"), Call::Stats);
+        assert_eq!(call(&Method::POST, "/admin/quiesce"), Call::Quiesce);
+        assert_eq!(call(&Method::POST, "/admin/resume"), Call::Resume);
+        assert_eq!(call(&Method::GET, "/admin/quiesce"), Call::WrongMethod);
+        assert_eq!(call(&Method::HEAD, "/admin/resume"), Call::WrongMethod);
+        assert_eq!(call(&Method::POST, "/admin/health"), Call::WrongMethod);
+        assert_eq!(call(&Method::GET, "/admin/healthz"), Call::Unknown);
+        assert_eq!(call(&Method::GET, "/"), Call::Unknown);
+    }
+
+    fn desk(ready: bool) -> Desk {
+        Desk {
+            counters: Arc::default(),
+            ready: watch::channel(ready).1,
+            quiesced: Arc::new(watch::channel(None).0),
+            draining: watch::channel(None).1,
+        }
+    }
+
+    #[test]
+    fn health_says_no_before_ready_and_while_quiesced_and_yes_after_resume() {
+        let desk = desk(false);
+        assert_eq!(desk.answer(Call::Health).0, StatusCode::SERVICE_UNAVAILABLE);
+        let desk = Desk { ready: watch::channel(true).1, ..desk };
+        assert_eq!(desk.answer(Call::Health).0, StatusCode::OK);
+        assert_eq!(desk.answer(Call::Quiesce).0, StatusCode::OK);
+        let first = *desk.quiesced.borrow();
+        assert_eq!(desk.answer(Call::Quiesce).0, StatusCode::OK);
+        assert_eq!(*desk.quiesced.borrow(), first, "a second quiesce keeps the first one's time");
+        assert_eq!(desk.answer(Call::Health).0, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(desk.answer(Call::Resume).0, StatusCode::OK);
+        assert_eq!(desk.answer(Call::Resume).0, StatusCode::OK);
+        assert_eq!(desk.answer(Call::Health).0, StatusCode::OK);
+    }
+
+    mod sockets {
+        use super::*;
+        use tokio::io::{AsyncReadExt, AsyncWriteExt};
+        use tokio::net::TcpStream;
+
+        async fn console(ready: bool) -> (std::net::SocketAddr, Desk) {
+            let listener = bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+            let (address, desk) = (listener.local_addr().unwrap(), desk(ready));
+            tokio::spawn(serve(listener, desk.clone()));
+            (address, desk)
+        }
+
+        /// What comes back, and when the connection ended, from connecting.
+        async fn ask(address: std::net::SocketAddr, bytes: &[u8]) -> (String, Duration) {
+            let started = Instant::now();
+            let mut stream = TcpStream::connect(address).await.unwrap();
+            stream.write_all(bytes).await.unwrap();
+            let mut answer = Vec::new();
+            let _ = timeout(Duration::from_secs(5), stream.read_to_end(&mut answer)).await;
+            (String::from_utf8_lossy(&answer).into_owned(), started.elapsed())
+        }
+
+        fn status(answer: &str) -> &str {
+            answer.split(' ').nth(1).unwrap_or("none")
+        }
+
+        #[tokio::test]
+        async fn calls_are_answered_with_their_status_and_the_figures() {
+            let (address, desk) = console(true).await;
+            desk.counters.classes(["price-lookup"]);
+            let (health, _) = ask(address, b"GET /admin/health HTTP/1.1\r\nHost: p\r\n\r\n").await;
+            assert_eq!(status(&health), "200");
+            let (stats, _) = ask(address, b"GET /admin/stats HTTP/1.1\r\nHost: p\r\n\r\n").await;
+            assert!(stats.contains("\r\n\r\ngw.results.price-lookup.succeeded=0\n"), "{stats}");
+            assert!(stats.contains("\ngw.sighup_rejected=0\n"), "{stats}");
+            let (quiesce, _) =
+                ask(address, b"POST /admin/quiesce HTTP/1.1\r\nHost: p\r\nContent-Length: 0\r\n\r\n").await;
+            assert_eq!(status(&quiesce), "200");
+            let (health, _) = ask(address, b"GET /admin/health HTTP/1.1\r\nHost: p\r\n\r\n").await;
+            assert_eq!(status(&health), "503");
+            let (resume, _) = ask(address, b"POST /admin/resume HTTP/1.1\r\nHost: p\r\n\r\n").await;
+            assert_eq!(status(&resume), "200");
+            let (health, _) = ask(address, b"GET /admin/health HTTP/1.1\r\nHost: p\r\n\r\n").await;
+            assert_eq!(status(&health), "200");
+        }
+
+        #[tokio::test]
+        async fn wrong_calls_hear_no() {
+            let (address, _) = console(true).await;
+            let (unknown, _) = ask(address, b"GET /admin/nothing HTTP/1.1\r\nHost: p\r\n\r\n").await;
+            assert_eq!(status(&unknown), "404");
+            let (method, _) = ask(address, b"DELETE /admin/stats HTTP/1.1\r\nHost: p\r\n\r\n").await;
+            assert_eq!(status(&method), "405");
+            let (garbage, _) = ask(address, b"\x16\x03\x01 nothing of HTTP\r\n\r\n").await;
+            assert_eq!(status(&garbage), "400");
+        }
+
+        #[tokio::test]
+        async fn who_sends_nothing_or_half_a_call_is_closed_within_a_second_and_keeps_nobody_waiting() {
+            let (address, _) = console(false).await;
+            let silent = tokio::spawn(ask(address, b""));
+            let half = tokio::spawn(ask(address, b"GET /admin/hea"));
+            // Meanwhile a whole call is answered at once.
+            let (health, took) = ask(address, b"GET /admin/health HTTP/1.1\r\nHost: p\r\n\r\n").await;
+            assert_eq!(status(&health), "503");
+            assert!(took < Duration::from_millis(200), "{took:?}");
+            for caller in [silent, half] {
+                let (_, took) = caller.await.unwrap();
+                assert!(took < Duration::from_secs(1), "{took:?}");
+            }
+        }
+    }
+}
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -42,6 +42,8 @@
     sent: Vec<HostId>,
     out: u32,
     write: bool,
+    /// Its class, by number, as the settings at its arrival had it.
+    class: usize,
     /// What it costs to hold.
     _room: Ticket,
 }
@@ -53,6 +55,8 @@
     out: u32,
     /// Since when the list does not name it.
     gone: Option<Instant>,
+    /// As the list has it.
+    state: HostState,
 }
 
 enum Due {
@@ -161,21 +165,22 @@
     async fn arrival(&mut self, arrival: Arrival) {
         let Arrival { id, request, arrived, client } = arrival;
         self.counters.taken();
+        let class = self.class_name(request.class);
         let settings = &self.config.settings;
         let retry_after = settings.retry_after.then_some(settings.max_retry_after);
         // Before the first list no group is known, but any may come.
         if self.groups.is_empty() || self.open >= self.config.most_held {
-            self.counters.ended(Ended::Refused);
+            self.counters.ended(Ended::Refused, &class);
             return mail(&client, id, Answer::Refused { retry_after });
         }
         // The module would hold a request of a group that does not exist until its client leaves.
         if !self.groups.contains(&request.group) {
-            self.counters.ended(Ended::Failed);
+            self.counters.ended(Ended::Failed, &class);
             return mail(&client, id, Answer::Invalid(format!("there is no group {}", request.group)));
         }
         // Ledger hosts know a request by this name: with two of one name neither answer would be sure.
         if !self.names.insert(request.name.clone()) {
-            self.counters.ended(Ended::Failed);
+            self.counters.ended(Ended::Failed, &class);
             return mail(&client, id, Answer::Invalid("a request with this id is open".to_owned()));
         }
         let room = self.memory.request(request.class, request.tenant, request.statement.text.len());
@@ -183,7 +188,7 @@
             Ok(room) => room,
             Err(refused) => {
                 self.names.remove(&request.name);
-                self.counters.ended(Ended::Refused);
+                self.counters.ended(Ended::Refused, &class);
                 let retry_after = retry_after.and(refused.refusal.retry_after);
                 return mail(&client, id, Answer::Refused { retry_after });
             }
@@ -203,6 +208,7 @@
             sent: Vec::new(),
             out: 0,
             write,
+            class,
             _room: room,
         };
         self.table.insert(id, held);
@@ -221,7 +227,8 @@
         }
         self.open -= 1;
         self.names.remove(&held.name);
-        self.counters.ended(how);
+        let class = held.class;
+        self.counters.ended(how, &self.class_name(class));
         Some(client)
     }
 
@@ -232,6 +239,11 @@
         self.forget(id);
     }
 
+    /// What the operators call a class.
+    fn class_name(&self, class: usize) -> String {
+        self.config.names.classes.get(class).map_or_else(|| class.to_string(), |c| c.name.clone())
+    }
+
     fn forget(&mut self, id: RequestId) {
         if self.table.get(&id).is_some_and(|held| held.client.is_none() && held.out == 0) {
             self.table.remove(&id);
@@ -293,6 +305,7 @@
             self.groups.insert(listed.group);
             if let Some(member) = self.members.get_mut(&host) {
                 member.gone = (listed.state == HostState::Deleted).then(|| member.gone.unwrap_or(now));
+                member.state = listed.state;
                 // A host's actor hears of it before any send that the module decides on from now on.
                 let protocol = self.config.operator.hosts.protocol(&listed.kind);
                 let Listed { address, state, .. } = listed;
@@ -308,6 +321,11 @@
             }
         }
         self.retire(now);
+        let listed = self.members.values().filter(|m| m.gone.is_none());
+        let (discovered, draining) = listed.fold((0, 0), |(all, draining), m| {
+            (all + 1, draining + usize::from(m.state == HostState::Stopping))
+        });
+        self.counters.listed(discovered, draining);
         let serves = entries.iter().any(|e| e.state == HostState::Running);
         self.tell(Told::Hosts(kind, entries)).await;
         if serves {
@@ -340,7 +358,7 @@
         self.numbers.insert(listed.name.clone(), host);
         let protocol = self.config.operator.hosts.protocol(&listed.kind);
         let peer = Peer::start(host, listed.address, protocol, self.pool.clone(), self.events.clone());
-        self.members.insert(host, Member { peer, out: 0, gone: None });
+        self.members.insert(host, Member { peer, out: 0, gone: None, state: listed.state });
         host
     }
 
--- a/src/net/frontend/client.rs
+++ b/src/net/frontend/client.rs
@@ -184,6 +184,7 @@
 impl<C: Conversation, I: Fn() -> RequestId> Client<C, I> {
     async fn talk(&mut self, mut squeezed: watch::Receiver<()>) -> Result<(), Over> {
         let mut draining = self.door.draining.clone();
+        let mut quiesced = self.door.quiesced.clone();
         // Who stays silent must not hold up the end of a drain.
         let mut drained = draining.clone();
         let last_call = async {
@@ -270,6 +271,7 @@
                 () = shown_out => return Err(Over::Seat(Fault::Refused(self.door.retry_after))),
                 () = sleep_until(closes.unwrap_or(self.came)), if closes.is_some() => return Ok(()),
                 Ok(()) = draining.changed() => {}
+                Ok(()) = quiesced.changed() => {}
                 Ok(()) = reclaims.changed() => {
                     let (account, held) = (self.account, self.held.buffers.bytes());
                     if reclaims.borrow_and_update().iter().any(|reclaim| reclaim.claims(account, held)) {
@@ -330,7 +332,8 @@
             }
             Step::Ready => {
                 self.asked = true;
-                let ready = *self.door.ready.borrow();
+                // A drained proxy says no, so that the front sends new clients elsewhere.
+                let ready = *self.door.desk.ready.borrow() && self.door.quiesced.borrow().is_none();
                 match ready {
                     true => self.conversation.ready(&mut self.out),
                     false => self.fault(&Fault::NotReady),
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -8,6 +8,7 @@
 mod tds;
 
 use super::clock::Clock;
+use super::console::Desk;
 use super::memory::{Memory, Reclaim};
 use super::messages::Event;
 use crate::config::Names;
@@ -33,6 +34,9 @@
 /// SIGKILL follows SIGTERM after the longest deadline, which counts as so much at most, and this.
 const LONGEST: Duration = Duration::from_secs(3);
 const KILLED: Duration = Duration::from_millis(700);
+/// After a drain by the console the front sends new connections elsewhere within 0.2 s: those that clients
+/// hold are closed once idle from then on, so that none is idle 4 s after the call.
+const QUIESCED_CLOSES: Duration = Duration::from_millis(400);
 /// Clients use the connections they have until these are closed, and other proxies may be restarting too: they
 /// stay open until so long before SIGKILL. What comes until then still has the time that most requests take.
 const CLOSED_BEFORE: Duration = Duration::from_millis(1_200);
@@ -59,7 +63,10 @@
     pub clock: Clock,
     pub events: mpsc::Sender<Event>,
     pub names: Arc<Names>,
-    pub ready: watch::Receiver<bool>,
+    /// Whether the empty query hears yes: ready, and not drained.
+    pub desk: Desk,
+    /// Since when the console drains; none while it works.
+    pub quiesced: watch::Receiver<Option<Instant>>,
     /// When SIGTERM came.
     pub draining: watch::Receiver<Option<Instant>>,
     /// The longest time that a class of requests is given.
@@ -81,7 +88,9 @@
     /// Until when a drain leaves connections open for further requests.
     fn closes(&self) -> Option<Instant> {
         let since = *self.draining.borrow();
-        since.zip(self.killed()).map(|(since, at)| (at - CLOSED_BEFORE).max(since + STAYS))
+        let drained = since.zip(self.killed()).map(|(since, at)| (at - CLOSED_BEFORE).max(since + STAYS));
+        let quiesced = self.quiesced.borrow().map(|since| since + QUIESCED_CLOSES);
+        drained.into_iter().chain(quiesced).min()
     }
 
     /// Until when a request that comes now has to be answered, if a drain limits that.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 //! actor never waits at all: each has one request at a time, and its mailbox has room for the answer.
 
 pub mod clock;
+pub(crate) mod console;
 pub(crate) mod core;
 pub(crate) mod discovery;
 pub(crate) mod frontend;
@@ -45,6 +46,7 @@
 pub struct Proxy {
     config: Config,
     listeners: Listeners,
+    console: Option<tokio::net::TcpListener>,
     counters: Arc<Counters>,
     budget: Budget,
 }
@@ -56,8 +58,22 @@
     /// When one cannot be had.
     pub async fn bind(config: Config) -> io::Result<Self> {
         let listeners = Listeners::bind(&config.listeners())?;
+        let console = match config.console {
+            Some(address) => Some(console::bind(address).await?),
+            None => None,
+        };
         let budget = config.plan.budget().map_err(io::Error::other)?;
-        Ok(Self { config, listeners, counters: Arc::default(), budget })
+        let counters = Arc::new(Counters::default());
+        counters.classes(config.names.classes.iter().map(|class| class.name.as_str()));
+        Ok(Self { config, listeners, console, counters, budget })
+    }
+
+    /// Where the operators' console listens, if anywhere.
+    ///
+    /// # Errors
+    /// When the system does not tell.
+    pub fn console(&self) -> io::Result<Option<SocketAddr>> {
+        self.console.as_ref().map(tokio::net::TcpListener::local_addr).transpose()
     }
 
     /// Where clients connect, and what is spoken there.
@@ -83,10 +99,18 @@
     /// # Errors
     /// When the settings cannot work, or an actor has failed.
     pub async fn serve(self, mut control: mpsc::Receiver<Control>) -> io::Result<()> {
-        let Self { config, listeners, counters, budget } = self;
+        let Self { config, listeners, console, counters, budget } = self;
         let (events, mailbox) = mpsc::channel(CORE_MAILBOX);
         let (ready, is_ready) = watch::channel(false);
         let (drain, draining) = watch::channel(None);
+        let (quiesce, quiesced) = watch::channel(None);
+        let desk = console::Desk {
+            counters: Arc::clone(&counters),
+            ready: is_ready.clone(),
+            quiesced: Arc::new(quiesce),
+            draining: draining.clone(),
+        };
+        let console = console.map(|listener| tokio::spawn(console::serve(listener, desk.clone())));
         let (moved, discovery) = watch::channel(config.discovery);
         let since = config.known.as_ref().map(|list| list.index);
         let zones = config.names.zones.clone();
@@ -97,7 +121,8 @@
             clock,
             events: events.clone(),
             names: Arc::new(config.names.clone()),
-            ready: is_ready,
+            desk,
+            quiesced,
             draining,
             longest: longest(&config),
             counters: Arc::clone(&counters),
@@ -146,6 +171,9 @@
         tracing::info!("counters: {counters}");
         follower.abort();
         watcher.abort();
+        if let Some(console) = console {
+            console.abort();
+        }
         core.abort();
         ended
     }
--- a/src/net/upstream/connection.rs
+++ b/src/net/upstream/connection.rs
@@ -77,8 +77,10 @@
     }
 
     /// Writes a request and reads its answer into the exchange; whether the connection can be used again.
-    pub async fn ask(&mut self, ask: &Ask<'_>, exchange: &mut Exchange) -> bool {
-        let good = self.converse(ask, exchange).await;
+    /// Asks, and reads the answer into `exchange`; false if the connection is of no further use. `written` is
+    /// told once the question's last byte is written.
+    pub async fn ask(&mut self, ask: &Ask<'_>, exchange: &mut Exchange, written: impl FnOnce()) -> bool {
+        let good = self.converse(ask, exchange, written).await;
         if self.read.capacity() > KEPT {
             // Hundreds of idle connections must not each keep room for the longest answer.
             self.read = BytesMut::new();
@@ -86,7 +88,7 @@
         good
     }
 
-    async fn converse(&mut self, ask: &Ask<'_>, exchange: &mut Exchange) -> bool {
+    async fn converse(&mut self, ask: &Ask<'_>, exchange: &mut Exchange, written: impl FnOnce()) -> bool {
         let mut out = BytesMut::new();
         self.dialect.ask(ask, &mut out);
         // One write for the message: a part of it alone would be a request that never ends.
@@ -94,6 +96,7 @@
             return false;
         }
         exchange.written = true;
+        written();
         drop(out);
         let mut whole_by = None;
         loop {
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -286,8 +286,9 @@
         let work = async {
             let open = way.open(a.deadline).await?;
             let left = a.deadline.saturating_duration_since(Instant::now());
+            let counters = Arc::clone(&way.pool.counters);
             let open = connection.insert(open);
-            Ok(open.ask(&Ask::Statement(&a.statement, left), &mut exchange).await)
+            Ok(open.ask(&Ask::Statement(&a.statement, left), &mut exchange, || counters.forwarded()).await)
         };
         tokio::select! {
             biased;
@@ -325,7 +326,7 @@
     let work = async {
         let open = way.open(deadline).await?;
         let open = connection.insert(open);
-        Ok(open.ask(&ask, &mut exchange).await)
+        Ok(open.ask(&ask, &mut exchange, || {}).await)
     };
     let (outcome, good) = match timeout_at(deadline, work).await {
         Ok(Ok(good)) => (exchange.outcome(), good),
