Close on a client that made no sense too often without a second answer, and count SIGHUP files

At fault: src/net/frontend/client.rs, after the eighth senseless statement talk() returned Fault::Broken, whose fatal ErrorResponse followed the eighth answer with nothing else asked: a second answer to the same request.

Change: with nothing more read, the connection is closed without a word; a client that sent more already still hears 08P01 for the next. Test: a scenario of eight senseless statements one at a time expects a close with no further error; it fails without the change (checked).

--- a/src/net/frontend/client.rs
+++ b/src/net/frontend/client.rs
@@ -223,6 +223,11 @@
                 self.step(step).await?;
                 self.flush().await?;
                 if self.wrong >= MOST_WRONG {
+                    // What it sent is answered: a further error would stand as a second answer to the last
+                    // one. Only what it has already sent beyond that hears why the connection ends.
+                    if self.read.is_empty() {
+                        return Ok(());
+                    }
                     return Err(Fault::Broken("too many statements made no sense".to_owned()).into());
                 }
                 self.quiet = Instant::now();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -150,8 +150,14 @@
                 Some(asked) = control.recv() => match asked {
                     Control::Report => tracing::info!("counters: {counters}"),
                     Control::Reread => match config.rediscover() {
-                        Ok(address) => { moved.send_replace(address); }
-                        Err(problem) => tracing::error!("the configuration stays as it was: {problem}"),
+                        Ok(address) => {
+                            counters.sighup(true);
+                            moved.send_replace(address);
+                        }
+                        Err(problem) => {
+                            counters.sighup(false);
+                            tracing::error!("the configuration stays as it was: {problem}");
+                        }
                     },
                     Control::Drain => {
                         tracing::info!("drains");
--- a/tests/sockets/proxy.rs
+++ b/tests/sockets/proxy.rs
@@ -153,6 +153,29 @@
     c1 expect error 08P01
     c1 expect closed"
 )]
+#[case::who_has_made_no_sense_too_often_is_closed_on_without_a_second_answer(
+    1,
+    "
+    c1 send startup
+    c1 expect ready
+    c1 send text SELECT 1
+    c1 expect error 42601
+    c1 send text SELECT 1
+    c1 expect error 42601
+    c1 send text SELECT 1
+    c1 expect error 42601
+    c1 send text SELECT 1
+    c1 expect error 42601
+    c1 send text SELECT 1
+    c1 expect error 42601
+    c1 send text SELECT 1
+    c1 expect error 42601
+    c1 send text SELECT 1
+    c1 expect error 42601
+    c1 send text SELECT 1
+    c1 expect error 42601
+    c1 expect closed"
+)]
 #[case::who_asks_once_and_stays_makes_room_before_others_are_refused(
     1,
     "
