Take new settings at SIGHUP: classes appear and vanish, attempts may drop, requests keep theirs

Change (design): Config::retune reads the file as a start would (one place reads and checks; an empty, cut short or incomplete file, a deadline or maxAttempts not above 0, is turned down whole and counted in sighup_rejected) and merges by class name: a class keeps its number, a new one comes behind, one that the file leaves out takes no new requests but stays for those under way. The module gets the settings by Router::retune (its pace grows for new classes; Pace moved to load/ beside Faded), the door gets the names through a watch, counters the classes. Not taken: a new Router at SIGHUP (it would forget hosts, sessions and open requests), and numbering classes anew (requests under way would change class).

--- a/crates/decisions/src/load/mod.rs
+++ b/crates/decisions/src/load/mod.rs
@@ -1,5 +1,7 @@
 //! What is known of loads and faults, and how fast that grows old. What follows from it is the module's to decide.
 
 mod faded;
+mod pace;
 
 pub use faded::Faded;
+pub use pace::Pace;
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -6,7 +6,7 @@
 
 use crate::check::check;
 use crate::interface::*;
-use crate::load::Faded;
+use crate::load::{Faded, Pace};
 use crate::state::sessions::Sessions;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -145,13 +145,6 @@
     dropped: bool,
 }
 
-#[derive(Clone, Debug)]
-struct Pace {
-    mean: f64,
-    /// Mean latency of the answers that did not wait: what the class takes by itself.
-    work: f64,
-}
-
 /// The decisions of one router.
 #[derive(Debug)]
 pub struct Router {
@@ -188,9 +181,8 @@
     /// When a setting is not sensible; the error names it.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         check(&settings)?;
-        let pace = |aim: f64| Pace { mean: aim / 4.0, work: aim / 8.0 };
         Ok(Self {
-            pace: settings.classes.iter().map(|c| pace(c.aim.0 as f64)).collect(),
+            pace: settings.classes.iter().map(|c| Pace::of(c.aim)).collect(),
             asked: settings.quotas.clone(),
             crowd: BTreeMap::new(),
             sizes: BTreeMap::new(),
@@ -211,6 +203,12 @@
         })
     }
 
+    /// Takes settings read anew, checked as at the start; classes keep their numbers, new ones come behind.
+    pub fn retune(&mut self, settings: Settings) {
+        self.pace.extend(settings.classes.iter().skip(self.pace.len()).map(|c| Pace::of(c.aim)));
+        self.s = settings;
+    }
+
     /// Takes one event and adds what is to be done to `actions`.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
         self.now = now;
--- /dev/null
+++ b/crates/decisions/tests/retune.rs
@@ -0,0 +1,36 @@
+//! Settings read anew while the router runs (SIGHUP): classes keep their numbers, new ones come behind.
+
+mod common;
+use common::*;
+use wheelpier_decisions::*;
+
+#[test]
+fn a_class_that_the_new_settings_bring_is_served_and_the_old_ones_go_on() {
+    let mut world = World::known(settings(), 3);
+    let added = settings().classes.len();
+    let (id, before) = world.ask(added, None);
+    assert_eq!(
+        finals(&before),
+        [&Action::Refuse { id, retry_after: None }],
+        "unknown before the new settings"
+    );
+    let (held, _) = world.ask(1, None);
+    let mut more = settings();
+    more.classes.push(class(Freshness::Any, Repeat::Safe));
+    world.router.retune(more);
+    let (_, after) = world.ask(added, None);
+    assert_eq!(sends(&after).len(), 1, "the new class is sent like any other read");
+    let reply = world.reply(held, 1, Outcome::Ok, Some(Role::Replica));
+    assert!(finals(&reply).is_empty(), "a request from before is answered by its own attempt: {reply:?}");
+}
+
+#[test]
+fn fewer_attempts_hold_from_the_new_settings_on() {
+    let mut world = World::known(settings(), 3);
+    world.router.retune(Settings { max_attempts: 1, ..settings() });
+    let (id, first) = world.ask(0, None);
+    let host = sends(&first)[0];
+    let failed = world.reply(id, host, Outcome::Error, None);
+    assert!(sends(&failed).is_empty(), "one attempt only: {failed:?}");
+    assert_eq!(finals(&failed).len(), 1, "and the client hears at once: {failed:?}");
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -59,6 +59,8 @@
     pub write: bool,
     /// Whether they carry an idempotency key.
     pub keyed: bool,
+    /// Whether new requests may be of it: a class that new settings leave out stays for those under way.
+    pub open: bool,
 }
 
 /// All that a proxy is told at its start.
@@ -217,23 +219,55 @@
         std::iter::once((Protocol::Postgres, self.listen)).chain(more).collect()
     }
 
-    /// Reads the file once more, while the proxy runs: where discovery answers now. The environment told that
-    /// of the start, so here the file goes first; a file that does not tell it leaves it where it is.
+    /// Reads the file once more at SIGHUP, checked as at the start, and takes in what may change while the
+    /// proxy runs: where discovery answers, the classes and their terms, and the number of attempts. Classes
+    /// keep their numbers, so that requests under way keep their class; a class that the file no longer names
+    /// takes no new requests, and one that it names anew comes behind the others. All else holds until a
+    /// restart.
     ///
     /// # Errors
-    /// When the file as a whole would not do for a start.
-    pub fn rediscover(&self) -> Result<SocketAddr, ConfigError> {
-        let Some(path) = &self.file else { return Ok(self.discovery) };
+    /// When the file as a whole would not do for a start: empty, cut short, lacking a key, or with a
+    /// deadline or a number of attempts that is not a number above 0. Nothing changes then.
+    pub fn retune(&self) -> Result<Self, ConfigError> {
+        let Some(path) = &self.file else { return Ok(self.clone()) };
         let text = std::fs::read_to_string(path).map_err(|e| wrong("GW_CONFIG", e))?;
-        let file: File = parse(&text)?;
+        let new = self.reread(&text)?;
+        Ok(self.merged(new))
+    }
+
+    /// The file's text as a start would read it, with the name and addresses that this process has.
+    fn reread(&self, text: &str) -> Result<Self, ConfigError> {
+        let file: File = parse(text)?;
         let current = file.discovery.is_none().then(|| self.discovery.to_string());
-        let again = Self::read(&text, |name| match name {
+        Self::read(text, |name| match name {
             "GW_NAME" => Some(self.name.clone()),
             "GW_LISTEN" => Some(self.listen.to_string()),
             "GW_DISCOVERY" => current.clone(),
             _ => None,
-        })?;
-        Ok(again.discovery)
+        })
+    }
+
+    /// This configuration with what new settings may change.
+    fn merged(&self, new: Self) -> Self {
+        let mut classes = self.settings.classes.clone();
+        let mut names = self.names.classes.clone();
+        names.iter_mut().for_each(|name| name.open = false);
+        for (class, name) in new.settings.classes.into_iter().zip(new.names.classes) {
+            match names.iter().position(|old| old.name == name.name) {
+                Some(at) => (classes[at], names[at]) = (class, name),
+                None => {
+                    classes.push(class);
+                    names.push(name);
+                }
+            }
+        }
+        let mut merged = self.clone();
+        merged.settings =
+            crate::interface::Settings { classes, quotas: self.settings.quotas.clone(), ..new.settings };
+        merged.names.classes = names;
+        merged.discovery = new.discovery;
+        merged.max_attempts = new.max_attempts;
+        merged
     }
 
     /// Reads the text of a configuration file; what `env` gives goes before it.
@@ -335,7 +369,7 @@
 
 fn class_name((named, class): (Named, &Class)) -> ClassName {
     let keyed = matches!(class.repeat, Repeat::Keyed(_));
-    ClassName { name: named.name, write: class.freshness == Freshness::Write, keyed }
+    ClassName { name: named.name, write: class.freshness == Freshness::Write, keyed, open: true }
 }
 
 /// The key that a message of serde names in backquotes, if any.
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -153,6 +153,10 @@
                 self.back(host);
                 self.tell(Told::Probed { host, outcome, latency, report }).await;
             }
+            Event::Retune(config) => {
+                self.router.retune(config.settings.clone());
+                self.config = *config;
+            }
             Event::List(list) => {
                 let kind = if list.whole { ListKind::Replace } else { ListKind::Update };
                 self.list(list, kind).await;
--- a/src/net/frontend/client.rs
+++ b/src/net/frontend/client.rs
@@ -326,7 +326,8 @@
         match step {
             Step::Statement(text) => {
                 self.asked = true;
-                match request::read(text, &self.door.names, self.door.clock.now()) {
+                let names = Arc::clone(&self.door.names.borrow());
+                match request::read(text, &names, self.door.clock.now()) {
                     Ok(request) => self.ask(request).await?,
                     Err(fault) => self.senseless(&fault),
                 }
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -62,7 +62,8 @@
 pub(crate) struct Door {
     pub clock: Clock,
     pub events: mpsc::Sender<Event>,
-    pub names: Arc<Names>,
+    /// What classes and tenants are called; new at SIGHUP.
+    pub names: watch::Receiver<Arc<Names>>,
     /// Whether the empty query hears yes: ready, and not drained.
     pub desk: Desk,
     /// Since when the console drains; none while it works.
--- a/src/net/frontend/request.rs
+++ b/src/net/frontend/request.rs
@@ -19,7 +19,7 @@
     let words = std::str::from_utf8(&text).map_err(|_| Fault::Encoding)?;
     let KvStatement { write, key, value_at, comment } =
         KvStatement::parse(words).map_err(|e| Fault::Syntax(e.to_string()))?;
-    let class = names.classes.iter().position(|class| class.name == comment.class);
+    let class = names.classes.iter().position(|class| class.open && class.name == comment.class);
     let class = class.ok_or_else(|| Fault::Invalid(format!("there is no class `{}`", comment.class)))?;
     let form = &names.classes[class];
     if form.write != write {
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -111,6 +111,8 @@
     Probed(Probe),
     /// The list has changed.
     List(Listing),
+    /// The configuration was read anew at SIGHUP: the module takes its settings.
+    Retune(Box<crate::config::Config>),
 }
 
 /// A request that has come.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -99,11 +99,12 @@
     /// # Errors
     /// When the settings cannot work, or an actor has failed.
     pub async fn serve(self, mut control: mpsc::Receiver<Control>) -> io::Result<()> {
-        let Self { config, listeners, console, counters, budget } = self;
+        let Self { mut config, listeners, console, counters, budget } = self;
         let (events, mailbox) = mpsc::channel(CORE_MAILBOX);
         let (ready, is_ready) = watch::channel(false);
         let (drain, draining) = watch::channel(None);
         let (quiesce, quiesced) = watch::channel(None);
+        let (names, named) = watch::channel(Arc::new(config.names.clone()));
         let desk = console::Desk {
             counters: Arc::clone(&counters),
             ready: is_ready.clone(),
@@ -120,7 +121,7 @@
         let door = frontend::Door {
             clock,
             events: events.clone(),
-            names: Arc::new(config.names.clone()),
+            names: named,
             desk,
             quiesced,
             draining,
@@ -141,6 +142,7 @@
         );
         let core = core.map_err(io::Error::other)?;
         let asking = Asking::new(config.settings.routers, config.settings.on_request, config.seed);
+        let retunes = events.clone();
         let follower = tokio::spawn(discovery::follow(discovery, zones, since, asking, events));
         let watcher = tokio::spawn(memory.watch(reclaims));
         let mut front = tokio::spawn(frontend::accept(listeners, door));
@@ -149,10 +151,18 @@
             tokio::select! {
                 Some(asked) = control.recv() => match asked {
                     Control::Report => tracing::info!("counters: {counters}"),
-                    Control::Reread => match config.rediscover() {
-                        Ok(address) => {
+                    Control::Reread => match config.retune() {
+                        Ok(new) => {
                             counters.sighup(true);
-                            moved.send_replace(address);
+                            counters.classes(new.names.classes.iter().map(|class| class.name.as_str()));
+                            moved.send_replace(new.discovery);
+                            // The module first: a request of a new class must find it there.
+                            if retunes.send(messages::Event::Retune(Box::new(new.clone()))).await.is_err() {
+                                break Err(io::Error::other("the module has ended"));
+                            }
+                            names.send_replace(Arc::new(new.names.clone()));
+                            tracing::info!("the configuration is read anew: {} classes", new.names.classes.len());
+                            config = new;
                         }
                         Err(problem) => {
                             counters.sighup(false);
--- a/tests/sockets/proxy.rs
+++ b/tests/sockets/proxy.rs
@@ -528,6 +528,32 @@
     c1 expect value x
     proxy expect exit 0"
 )]
+#[case::new_settings_bring_a_class_and_take_one_away_while_requests_keep_theirs(
+    1,
+    "
+    c1 send startup
+    c1 expect ready
+    c1 send read q1 2000
+    h1 expect id=q1
+    file send renamed any fast
+    proxy send HUP
+    proxy expect log read anew: 4 classes
+    h1 send value old primary           # what came before keeps its class
+    c1 expect value old
+    c2 send startup
+    c2 expect ready
+    c2 send text SELECT content FROM kv WHERE name = 'k1' /* id=q2,c=fast,t=acme,d=900,cluster=0 */
+    h1 expect id=q2
+    h1 send value new primary
+    c2 expect value new
+    c2 send read q3 900                 # `any` is gone: no new request of it
+    c2 expect error 22023
+    file send text {\"settings\":{}}
+    proxy send HUP
+    proxy expect log stays as it was
+    c2 send text SELECT content FROM kv WHERE name = 'k1' /* id=q4,c=fast,t=acme,d=900,cluster=0 */
+    h1 expect id=q4"
+)]
 #[case::after_sigterm_all_is_answered_and_who_comes_is_served(
     1,
     "
--- a/tests/sockets/scenario/mod.rs
+++ b/tests/sockets/scenario/mod.rs
@@ -15,6 +15,7 @@
 //! list send NAME STATUS;  list expect WORDS (a request holding them all);  list close
 //! proxy send TERM | HUP;  proxy expect exit CODE | log WORDS
 //! file send moved (discovery at a new address, which `list` is from then on) | text TEXT
+//! file send renamed A B (the same file, where class A is called B)
 //! t1, t2, ...: clients that speak TDS, in `play_tds`, where the hosts do too; see `tds.rs` for their words
 //! t1 send prelogin ENCRYPTION | login VERSION | text SQL | read, own, write ID D | call ID D | attention | raw HEX
 //! t1 expect prelogin | ready VERSION | value V | error NUMBER | done | attention | closed | silence MS
@@ -360,8 +361,13 @@
                 _ => panic!("what?"),
             },
             ("f", "send") => {
+                let renamed = what.strip_prefix("renamed ").and_then(|names| names.split_once(' '));
                 let text = match what.strip_prefix("text ") {
                     Some(text) => text.to_owned(),
+                    None if renamed.is_some() => {
+                        let (old, new) = renamed.unwrap_or_default();
+                        self.config.replace(&format!(r#""name":"{old}""#), &format!(r#""name":"{new}""#))
+                    }
                     None => {
                         let index = self.list.index;
                         self.left.push(std::mem::replace(&mut self.list, List { index, ..List::start() }));
