Test how new settings keep the numbers of classes and turn a faulty file down

Need: the merge of new settings was tested through one scenario only. Config::retuned (the text's part of retune) is now public and tested: a renamed class closes the old one and comes behind, the old one reopens when named again, fewer attempts reach both the module's settings and the proxy's bound, and empty, cut short, keyless, zero-deadline, zero- or word-attempt files are turned down naming a key.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -231,8 +231,15 @@
     pub fn retune(&self) -> Result<Self, ConfigError> {
         let Some(path) = &self.file else { return Ok(self.clone()) };
         let text = std::fs::read_to_string(path).map_err(|e| wrong("GW_CONFIG", e))?;
-        let new = self.reread(&text)?;
-        Ok(self.merged(new))
+        self.retuned(&text)
+    }
+
+    /// What [`Config::retune`] makes of a file's text.
+    ///
+    /// # Errors
+    /// As there.
+    pub fn retuned(&self, text: &str) -> Result<Self, ConfigError> {
+        Ok(self.merged(self.reread(text)?))
     }
 
     /// The file's text as a start would read it, with the name and addresses that this process has.
--- a/tests/sockets/proxy.rs
+++ b/tests/sockets/proxy.rs
@@ -743,3 +743,37 @@
     program.log("`GW_LISTEN` nowhere");
     assert_ne!(program.exit(), 0);
 }
+
+/// New settings at SIGHUP: a class keeps its number, a new one comes behind, one left out takes no new requests and
+/// may come back; fewer attempts hold; a faulty file is turned down whole.
+#[test]
+fn new_settings_keep_the_numbers_of_classes() {
+    let text = |settings: String| format!(r#"{{"settings":{settings}}}"#);
+    let config =
+        wheelpier::config::Config::read(&text(settings()), |_| Some("127.0.0.1:1".to_owned())).unwrap();
+    let open = |config: &wheelpier::config::Config| -> Vec<(String, bool)> {
+        config.names.classes.iter().map(|class| (class.name.clone(), class.open)).collect()
+    };
+    let renamed = settings()
+        .replace(r#""name":"any""#, r#""name":"fast""#)
+        .replace(r#""maxAttempts":8"#, r#""maxAttempts":2"#);
+    let new = config.retuned(&text(renamed)).unwrap();
+    let expected = [("any", false), ("own", true), ("write", true), ("fast", true)];
+    assert_eq!(open(&new), expected.map(|(name, open)| (name.to_owned(), open)));
+    assert_eq!(new.settings.classes.len(), 4);
+    assert_eq!((new.max_attempts, new.settings.max_attempts), (2, 2));
+    let back = new.retuned(&text(settings())).unwrap();
+    let expected = [("any", true), ("own", true), ("write", true), ("fast", false)];
+    assert_eq!(open(&back), expected.map(|(name, open)| (name.to_owned(), open)));
+    for faulty in [
+        String::new(),
+        text(settings())[..40].to_owned(),
+        text(settings().replace(r#""deadline":3.0,"#, "")),
+        text(settings().replacen(r#""deadline":3.0"#, r#""deadline":0"#, 1)),
+        text(settings().replace(r#""maxAttempts":8"#, r#""maxAttempts":0"#)),
+        text(settings().replace(r#""maxAttempts":8"#, r#""maxAttempts":"many""#)),
+    ] {
+        let problem = config.retuned(&faulty).expect_err(&faulty);
+        assert!(!problem.key.is_empty(), "{problem}");
+    }
+}
