Test the two-process upgrade on sockets: the new process listens beside the old and takes over

Change: scenarios can start a second program beside the first ('new send start': the same configuration and client address, a console of its own by GW_CONSOLE) and speak to it ('new send TERM', 'new expect exit|log'). The scenario: a request held by the old one is answered after its SIGTERM, the old one ends with 0, and a client that comes after is served by the new one on the same address.

--- a/tests/sockets/proxy.rs
+++ b/tests/sockets/proxy.rs
@@ -589,6 +589,28 @@
     operator send nothing
     operator expect 404"
 )]
+#[case::a_new_process_beside_the_old_one_takes_over_its_address(
+    1,
+    "
+    c1 send startup
+    c1 expect ready
+    c1 send read q1 2000
+    h1 expect id=q1
+    new send start                      # the same client address: shared, not refused
+    new expect log console listens
+    proxy send TERM
+    h1 send value old primary
+    c1 expect value old                 # what the old one held is answered
+    proxy expect exit 0
+    c2 send startup
+    c2 expect ready
+    c2 send read q2 2000
+    h1 expect id=q2
+    h1 send value new primary
+    c2 expect value new                 # and the new one serves where the old one did
+    new send TERM
+    new expect exit 0"
+)]
 #[case::after_sigterm_all_is_answered_and_who_comes_is_served(
     1,
     "
--- a/tests/sockets/scenario/mod.rs
+++ b/tests/sockets/scenario/mod.rs
@@ -14,6 +14,8 @@
 //! h1 send load TEXT (what it reports from then on; `true` for the truth)
 //! list send NAME STATUS;  list expect WORDS (a request holding them all);  list close
 //! proxy send TERM | HUP;  proxy expect exit CODE | log WORDS
+//! new send start (a second program beside the first: the same addresses, its own console) | TERM | HUP
+//! new expect exit CODE | log WORDS
 //! operator send health | stats | quiesce | resume (a call at the console);  operator expect WORDS (in its answer)
 //! file send moved (discovery at a new address, which `list` is from then on) | text TEXT
 //! file send renamed A B (the same file, where class A is called B)
@@ -251,6 +253,17 @@
 
     /// With an operator's file of that text.
     pub fn start_with(config: &str, listen: &str, discovery: &str, operator: Option<&str>) -> Self {
+        Self::start_among(config, listen, discovery, operator, &[])
+    }
+
+    /// With further variables.
+    fn start_among(
+        config: &str,
+        listen: &str,
+        discovery: &str,
+        operator: Option<&str>,
+        more: &[(&str, &str)],
+    ) -> Self {
         let stamp = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos();
         let file = std::env::temp_dir().join(format!("wheelpier-{}-{stamp}.json", std::process::id()));
         std::fs::write(&file, config).unwrap();
@@ -263,6 +276,7 @@
         let mut child = command
             .envs([("GW_NAME", "n0"), ("GW_LISTEN", listen), ("GW_DISCOVERY", discovery)])
             .env("GW_CONFIG", &file)
+            .envs(more.iter().copied())
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
@@ -318,6 +332,8 @@
     /// Where the operators' console listens, and what it answered last.
     console: SocketAddr,
     called: String,
+    /// A second program beside the first, as at an upgrade.
+    new: Option<Program>,
 }
 
 impl Scenario {
@@ -361,6 +377,7 @@
             any: 0,
             console,
             called: String::new(),
+            new: None,
         }
     }
 
@@ -383,6 +400,24 @@
         match (&who[..1], verb) {
             ("w", _) => std::thread::sleep(Duration::from_millis(verb.parse().unwrap())),
             ("o", "send") => self.called = self.call(what),
+            ("n", "send") if what == "start" => {
+                let console = TcpListener::bind(own_address()).unwrap().local_addr().unwrap().to_string();
+                let (listen, discovery) = (self.listen.to_string(), self.list.address.to_string());
+                let more = [("GW_CONSOLE", &console[..])];
+                self.new = Some(Program::start_among(&self.config, &listen, &discovery, None, &more));
+            }
+            ("n", "send") => {
+                let pid = self.new.as_ref().expect("a second program").child.id().to_string();
+                assert!(Command::new("kill").args([&format!("-{what}"), &pid]).status().unwrap().success());
+            }
+            ("n", "expect") => {
+                let new = self.new.as_mut().expect("a second program");
+                match what.split_once(' ') {
+                    Some(("exit", code)) => assert_eq!(new.exit().to_string(), code),
+                    Some(("log", words)) => drop(new.log(words)),
+                    _ => panic!("what?"),
+                }
+            }
             ("o", "expect") => {
                 assert!(what.split(' ').all(|word| self.called.contains(word)), "{}", self.called);
             }
