Count requests by the number of their class, not by a name made for each request

Found on reading the change again: core.rs made a String of the class's name at every arrival and every end, and Counters looked it up in a BTreeMap under its mutex, on the path of every request.

--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -169,22 +169,22 @@
     async fn arrival(&mut self, arrival: Arrival) {
         let Arrival { id, request, arrived, client } = arrival;
         self.counters.taken();
-        let class = self.class_name(request.class);
+        let class = request.class;
         let settings = &self.config.settings;
         let retry_after = settings.retry_after.then_some(settings.max_retry_after);
         // Before the first list no group is known, but any may come.
         if self.groups.is_empty() || self.open >= self.config.most_held {
-            self.counters.ended(Ended::Refused, &class);
+            self.counters.ended(Ended::Refused, class);
             return mail(&client, id, Answer::Refused { retry_after });
         }
         // The module would hold a request of a group that does not exist until its client leaves.
         if !self.groups.contains(&request.group) {
-            self.counters.ended(Ended::Failed, &class);
+            self.counters.ended(Ended::Failed, class);
             return mail(&client, id, Answer::Invalid(format!("there is no group {}", request.group)));
         }
         // Ledger hosts know a request by this name: with two of one name neither answer would be sure.
         if !self.names.insert(request.name.clone()) {
-            self.counters.ended(Ended::Failed, &class);
+            self.counters.ended(Ended::Failed, class);
             return mail(&client, id, Answer::Invalid("a request with this id is open".to_owned()));
         }
         let room = self.memory.request(request.class, request.tenant, request.statement.text.len());
@@ -192,7 +192,7 @@
             Ok(room) => room,
             Err(refused) => {
                 self.names.remove(&request.name);
-                self.counters.ended(Ended::Refused, &class);
+                self.counters.ended(Ended::Refused, class);
                 let retry_after = retry_after.and(refused.refusal.retry_after);
                 return mail(&client, id, Answer::Refused { retry_after });
             }
@@ -201,7 +201,7 @@
         let last_call = arrived + request.wait.saturating_sub(LAST_CALL.min(request.wait / 20));
         let last_call = Some(self.timers.insert_at(Due::LastCall(id), last_call));
         let ttl = micros(deadline.saturating_duration_since(Instant::now()));
-        let Request { class, tenant, group, session, again, since_write, name, statement, .. } = request;
+        let Request { tenant, group, session, again, since_write, name, statement, .. } = request;
         let write = self.config.settings.classes[class].freshness == Freshness::Write;
         let held = Held {
             name,
@@ -231,8 +231,7 @@
         }
         self.open -= 1;
         self.names.remove(&held.name);
-        let class = held.class;
-        self.counters.ended(how, &self.class_name(class));
+        self.counters.ended(how, held.class);
         Some(client)
     }
 
@@ -243,11 +242,6 @@
         self.forget(id);
     }
 
-    /// What the operators call a class.
-    fn class_name(&self, class: usize) -> String {
-        self.config.names.classes.get(class).map_or_else(|| class.to_string(), |c| c.name.clone())
-    }
-
     fn forget(&mut self, id: RequestId) {
         if self.table.get(&id).is_some_and(|held| held.client.is_none() && held.out == 0) {
             self.table.remove(&id);
