--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -2,8 +2,19 @@
 
 use crate::interface::Time;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::watch;
 use tokio::time::Instant;
 
+/// Marks a drain's start as now, unless one has begun already: the first call counts, so that what it promised
+/// holds. Whether this was the first.
+pub(crate) fn begin(since: &watch::Sender<Option<Instant>>) -> bool {
+    since.send_if_modified(|since| {
+        let first = since.is_none();
+        since.get_or_insert_with(Instant::now);
+        first
+    })
+}
+
 /// The clock; copies agree.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
--- a/src/net/console.rs
+++ b/src/net/console.rs
@@ -73,9 +73,15 @@
 }
 
 impl Desk {
-    /// Whether the empty query and the health call are to hear yes.
+    /// Whether the empty query, the front's check, is to hear yes: ready, and not quiesced. During a drain by
+    /// SIGTERM clients that still come are served.
+    pub fn serving(&self) -> bool {
+        *self.ready.borrow() && self.quiesced.borrow().is_none()
+    }
+
+    /// Whether the health call is to hear yes: serving, and not draining after SIGTERM.
     pub fn healthy(&self) -> bool {
-        *self.ready.borrow() && self.quiesced.borrow().is_none() && self.draining.borrow().is_none()
+        self.serving() && self.draining.borrow().is_none()
     }
 
     fn answer(&self, call: Call) -> (StatusCode, String) {
@@ -84,12 +90,7 @@
             Call::Health => (StatusCode::SERVICE_UNAVAILABLE, "drained or not ready\n".to_owned()),
             Call::Stats => (StatusCode::OK, self.counters.figures()),
             Call::Quiesce => {
-                // A second call leaves the first one's time: what it promised holds.
-                self.quiesced.send_if_modified(|since| {
-                    let first = since.is_none();
-                    since.get_or_insert_with(Instant::now);
-                    first
-                });
+                super::clock::begin(&self.quiesced);
                 tracing::info!("quiesced by the console");
                 (StatusCode::OK, "quiesced\n".to_owned())
             }
@@ -215,33 +216,31 @@
             answer.split(' ').nth(1).unwrap_or("none")
         }
 
+        /// A whole call of this method and path; its answer.
+        async fn call(address: std::net::SocketAddr, method: &str, path: &str) -> String {
+            let call = format!("{method} {path} HTTP/1.1\r\nHost: p\r\nContent-Length: 0\r\n\r\n");
+            ask(address, call.as_bytes()).await.0
+        }
+
         #[tokio::test]
         async fn calls_are_answered_with_their_status_and_the_figures() {
             let (address, desk) = console(true).await;
             desk.counters.classes(["price-lookup"]);
-            let (health, _) = ask(address, b"GET /admin/health HTTP/1.1\r\nHost: p\r\n\r\n").await;
-            assert_eq!(status(&health), "200");
-            let (stats, _) = ask(address, b"GET /admin/stats HTTP/1.1\r\nHost: p\r\n\r\n").await;
+            assert_eq!(status(&call(address, "GET", "/admin/health").await), "200");
+            let stats = call(address, "GET", "/admin/stats").await;
             assert!(stats.contains("\r\n\r\ngw.results.price-lookup.succeeded=0\n"), "{stats}");
             assert!(stats.contains("\ngw.sighup_rejected=0\n"), "{stats}");
-            let (quiesce, _) =
-                ask(address, b"POST /admin/quiesce HTTP/1.1\r\nHost: p\r\nContent-Length: 0\r\n\r\n").await;
-            assert_eq!(status(&quiesce), "200");
-            let (health, _) = ask(address, b"GET /admin/health HTTP/1.1\r\nHost: p\r\n\r\n").await;
-            assert_eq!(status(&health), "503");
-            let (resume, _) = ask(address, b"POST /admin/resume HTTP/1.1\r\nHost: p\r\n\r\n").await;
-            assert_eq!(status(&resume), "200");
-            let (health, _) = ask(address, b"GET /admin/health HTTP/1.1\r\nHost: p\r\n\r\n").await;
-            assert_eq!(status(&health), "200");
+            assert_eq!(status(&call(address, "POST", "/admin/quiesce").await), "200");
+            assert_eq!(status(&call(address, "GET", "/admin/health").await), "503");
+            assert_eq!(status(&call(address, "POST", "/admin/resume").await), "200");
+            assert_eq!(status(&call(address, "GET", "/admin/health").await), "200");
         }
 
         #[tokio::test]
         async fn wrong_calls_hear_no() {
             let (address, _) = console(true).await;
-            let (unknown, _) = ask(address, b"GET /admin/nothing HTTP/1.1\r\nHost: p\r\n\r\n").await;
-            assert_eq!(status(&unknown), "404");
-            let (method, _) = ask(address, b"DELETE /admin/stats HTTP/1.1\r\nHost: p\r\n\r\n").await;
-            assert_eq!(status(&method), "405");
+            assert_eq!(status(&call(address, "GET", "/admin/nothing").await), "404");
+            assert_eq!(status(&call(address, "DELETE", "/admin/stats").await), "405");
             let (garbage, _) = ask(address, b"\x16\x03\x01 nothing of HTTP\r\n\r\n").await;
             assert_eq!(status(&garbage), "400");
         }
--- a/src/net/frontend/client.rs
+++ b/src/net/frontend/client.rs
@@ -184,7 +184,7 @@
 impl<C: Conversation, I: Fn() -> RequestId> Client<C, I> {
     async fn talk(&mut self, mut squeezed: watch::Receiver<()>) -> Result<(), Over> {
         let mut draining = self.door.draining.clone();
-        let mut quiesced = self.door.quiesced.clone();
+        let mut quiesced = self.door.desk.quiesced.subscribe();
         // Who stays silent must not hold up the end of a drain.
         let mut drained = draining.clone();
         let last_call = async {
@@ -339,8 +339,7 @@
             Step::Ready => {
                 self.asked = true;
                 // A drained proxy says no, so that the front sends new clients elsewhere.
-                let ready = *self.door.desk.ready.borrow() && self.door.quiesced.borrow().is_none();
-                match ready {
+                match self.door.desk.serving() {
                     true => self.conversation.ready(&mut self.out),
                     false => self.fault(&Fault::NotReady),
                 }
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -64,10 +64,8 @@
     pub events: mpsc::Sender<Event>,
     /// What classes and tenants are called; new at SIGHUP.
     pub names: watch::Receiver<Arc<Names>>,
-    /// Whether the empty query hears yes: ready, and not drained.
+    /// Whether the empty query hears yes, and since when the console drains.
     pub desk: Desk,
-    /// Since when the console drains; none while it works.
-    pub quiesced: watch::Receiver<Option<Instant>>,
     /// When SIGTERM came.
     pub draining: watch::Receiver<Option<Instant>>,
     /// The longest time that a class of requests is given.
@@ -90,7 +88,7 @@
     fn closes(&self) -> Option<Instant> {
         let since = *self.draining.borrow();
         let drained = since.zip(self.killed()).map(|(since, at)| (at - CLOSED_BEFORE).max(since + STAYS));
-        let quiesced = self.quiesced.borrow().map(|since| since + QUIESCED_CLOSES);
+        let quiesced = self.desk.quiesced.borrow().map(|since| since + QUIESCED_CLOSES);
         drained.into_iter().chain(quiesced).min()
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -25,7 +25,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
-use tokio::time::Instant;
 
 /// Events that may wait for the module's actor.
 const CORE_MAILBOX: usize = 1024;
@@ -103,7 +102,7 @@
         let (events, mailbox) = mpsc::channel(CORE_MAILBOX);
         let (ready, is_ready) = watch::channel(false);
         let (drain, draining) = watch::channel(None);
-        let (quiesce, quiesced) = watch::channel(None);
+        let (quiesce, _) = watch::channel(None);
         let (names, named) = watch::channel(Arc::new(config.names.clone()));
         let desk = console::Desk {
             counters: Arc::clone(&counters),
@@ -123,7 +122,6 @@
             events: events.clone(),
             names: named,
             desk,
-            quiesced,
             draining,
             longest: longest(&config),
             counters: Arc::clone(&counters),
@@ -171,12 +169,7 @@
                     },
                     Control::Drain => {
                         tracing::info!("drains");
-                        // The first one counts: what it promised holds.
-                        drain.send_if_modified(|since| {
-                            let first = since.is_none();
-                            since.get_or_insert_with(Instant::now);
-                            first
-                        });
+                        clock::begin(&drain);
                     }
                 },
                 ended = &mut front => break ended.map_err(io::Error::other),
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -286,8 +286,7 @@
         let work = async {
             let open = way.open(a.deadline).await?;
             let left = a.deadline.saturating_duration_since(Instant::now());
-            let counters = Arc::clone(&way.pool.counters);
-            let open = connection.insert(open);
+            let (open, counters) = (connection.insert(open), &way.pool.counters);
             Ok(open.ask(&Ask::Statement(&a.statement, left), &mut exchange, || counters.forwarded()).await)
         };
         tokio::select! {
