Let the scenario's two programs share their signal and expect words

Found on reading the change again: 'new send' and 'new expect' copied the arms of 'proxy send' and 'proxy expect'. Program::signal and Program::expect now serve both.

--- a/tests/sockets/scenario/mod.rs
+++ b/tests/sockets/scenario/mod.rs
@@ -297,6 +297,21 @@
         }
     }
 
+    /// Sends it a signal by name: `TERM`, `HUP`.
+    fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap().success());
+    }
+
+    /// `exit CODE` or `log WORDS`, as a scenario words it.
+    fn expect(&mut self, what: &str) {
+        match what.split_once(' ') {
+            Some(("exit", code)) => assert_eq!(self.exit().to_string(), code),
+            Some(("log", words)) => drop(self.log(words)),
+            _ => panic!("what?"),
+        }
+    }
+
     pub fn exit(&mut self) -> i32 {
         let until = Instant::now() + PATIENCE;
         while Instant::now() < until {
@@ -406,30 +421,13 @@
                 let more = [("GW_CONSOLE", &console[..])];
                 self.new = Some(Program::start_among(&self.config, &listen, &discovery, None, &more));
             }
-            ("n", "send") => {
-                let pid = self.new.as_ref().expect("a second program").child.id().to_string();
-                assert!(Command::new("kill").args([&format!("-{what}"), &pid]).status().unwrap().success());
-            }
-            ("n", "expect") => {
-                let new = self.new.as_mut().expect("a second program");
-                match what.split_once(' ') {
-                    Some(("exit", code)) => assert_eq!(new.exit().to_string(), code),
-                    Some(("log", words)) => drop(new.log(words)),
-                    _ => panic!("what?"),
-                }
-            }
+            ("n", "send") => self.new.as_ref().expect("a second program").signal(what),
+            ("n", "expect") => self.new.as_mut().expect("a second program").expect(what),
             ("o", "expect") => {
                 assert!(what.split(' ').all(|word| self.called.contains(word)), "{}", self.called);
             }
-            ("p", "send") => {
-                let pid = self.program.child.id().to_string();
-                assert!(Command::new("kill").args([&format!("-{what}"), &pid]).status().unwrap().success());
-            }
-            ("p", "expect") => match what.split_once(' ') {
-                Some(("exit", code)) => assert_eq!(self.program.exit().to_string(), code),
-                Some(("log", words)) => drop(self.program.log(words)),
-                _ => panic!("what?"),
-            },
+            ("p", "send") => self.program.signal(what),
+            ("p", "expect") => self.program.expect(what),
             ("f", "send") => {
                 let renamed = what.strip_prefix("renamed ").and_then(|names| names.split_once(' '));
                 let text = match what.strip_prefix("text ") {
