Serve installations without tenants, and count and log by reason what is turned away

Ruled out: the module (with the trace on no request reached it) and discovery (the list was there). At fault: `Comment::of` in crates/pgwire/src/statement.rs demanded `t`, and this site has no tenants.

A statement needs `t` only where the settings name tenants (`request::read`). Memory's accounts and the module's shares already had a place for requests of no tenant; both protocols go the same way.

What is turned away is now counted by reason (`gw.turned.REASON`, `turned_REASON` in the counters) and logged with what was wrong, each reason once a second at the most, the count of those between with it (`state::telling`, which memory's refusals use too). `wheelpier check` says what a comment needs here.

Tests: each optional part of the settings left out in turn, all at once, and changed, with a read, a write and a session's read served end to end over both protocols; without the change the statements are answered 42601.

--- a/crates/decisions/src/state/mod.rs
+++ b/crates/decisions/src/state/mod.rs
@@ -3,4 +3,5 @@
 pub mod background;
 pub mod heavy;
 pub mod sessions;
+pub mod telling;
 pub mod wheel;
--- a/crates/pgwire/src/statement.rs
+++ b/crates/pgwire/src/statement.rs
@@ -29,8 +29,8 @@
     pub id: String,
     /// The class by name.
     pub class: String,
-    /// The tenant by name.
-    pub tenant: String,
+    /// The tenant by name, where the statement names one: an installation may have none.
+    pub tenant: Option<String>,
     /// How long the client waits, in milliseconds.
     pub wait_ms: f64,
     /// Whether the client marks this as a retry.
@@ -101,7 +101,7 @@
         Ok(Self {
             id: word("id")?,
             class: word("c")?,
-            tenant: word("t")?,
+            tenant: value("t").filter(|name| !name.is_empty()).map(|_| word("t")).transpose()?,
             wait_ms: number("d", needed("d")?)?,
             again: value("r") == Some("1"),
             key: find("k").map(|_| word("k")).transpose()?,
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,7 +1,7 @@
 //! The command line: what a person types, and what the exit status says.
 
 use crate::budget::PURPOSES;
-use crate::config::{Config, ConfigError, Operator, OperatorError};
+use crate::config::{ClassName, Config, ConfigError, Names, Operator, OperatorError};
 use crate::net::{self, Control};
 use bytesize::ByteSize;
 use clap::{Parser, Subcommand, ValueEnum};
@@ -151,4 +151,41 @@
         let keyed = if class.keyed { ", keyed" } else { "" };
         println!("class        {}: {}{keyed}", class.name, if class.write { "writes" } else { "reads" });
     }
+    accepts(&config.names).iter().for_each(|line| println!("{line}"));
+}
+
+/// What a statement's comment has to say here, by class: whatever lacks it is turned away.
+fn accepts(names: &Names) -> Vec<String> {
+    let tenants = match &names.tenants[..] {
+        [] => "none: comments need no `t`".to_owned(),
+        named => format!("{}; each comment needs its `t`", named.join(", ")),
+    };
+    let comment = |class: &ClassName| {
+        let tenant = if names.tenants.is_empty() { "" } else { ",t=TENANT" };
+        let key = if class.keyed { ",k=KEY" } else { "" };
+        format!("accepts      /* id=ID,c={}{tenant},d=MS{key},cluster=GROUP */", class.name)
+    };
+    std::iter::once(format!("tenants      {tenants}")).chain(names.classes.iter().map(comment)).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn names(tenants: &[&str]) -> Names {
+        let class = |name: &str, keyed| ClassName { name: name.to_owned(), keyed, ..ClassName::default() };
+        let tenants = tenants.iter().map(|name| (*name).to_owned()).collect();
+        Names { classes: vec![class("look", false), class("pay", true)], tenants, zones: Vec::new() }
+    }
+
+    #[test]
+    fn check_says_what_a_comment_needs_here() {
+        let told = accepts(&names(&[]));
+        assert_eq!(told[0], "tenants      none: comments need no `t`");
+        assert_eq!(told[1], "accepts      /* id=ID,c=look,d=MS,cluster=GROUP */");
+        assert_eq!(told[2], "accepts      /* id=ID,c=pay,d=MS,k=KEY,cluster=GROUP */");
+        let told = accepts(&names(&["a", "b"]));
+        assert_eq!(told[0], "tenants      a, b; each comment needs its `t`");
+        assert_eq!(told[2], "accepts      /* id=ID,c=pay,t=TENANT,d=MS,k=KEY,cluster=GROUP */");
+    }
 }
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -1,6 +1,7 @@
 //! What the proxy has taken in, sent and answered.
 
 use crate::interface::Outcome;
+use crate::reasons::{Reason, REASONS};
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::Mutex;
@@ -24,6 +25,7 @@
     clients: AtomicU64,
     taken: AtomicU64,
     malformed: AtomicU64,
+    turned: [AtomicU64; REASONS.len()],
     ended: [AtomicU64; 4],
     sent: AtomicU64,
     outcomes: [AtomicU64; 9],
@@ -69,6 +71,11 @@
         add(&self.malformed);
     }
 
+    /// Something was turned away for that reason.
+    pub fn turned(&self, reason: Reason) {
+        add(&self.turned[reason as usize]);
+    }
+
     /// A request of the class of this number has ended; a class that was never named counts in the totals
     /// alone.
     pub fn ended(&self, how: Ended, class: usize) {
@@ -130,6 +137,9 @@
         let _ = writeln!(out, "gw.ejected={}", get(&self.ejected));
         let _ = writeln!(out, "gw.sighup_applied={applied}");
         let _ = writeln!(out, "gw.sighup_rejected={rejected}");
+        for (reason, counter) in REASONS.iter().zip(&self.turned) {
+            let _ = writeln!(out, "gw.turned.{reason}={}", get(counter));
+        }
         out
     }
 
@@ -177,7 +187,9 @@
             write!(f, " {name}={}", get(counter))?;
         }
         let (connects, probes, lists) = (get(&self.connects), get(&self.probes), get(&self.lists));
-        write!(f, " connects={connects} probes={probes} lists={lists}")
+        write!(f, " connects={connects} probes={probes} lists={lists}")?;
+        let turned = REASONS.iter().zip(&self.turned).map(|(reason, counter)| (reason, get(counter)));
+        turned.filter(|(_, n)| *n > 0).try_for_each(|(reason, n)| write!(f, " turned_{reason}={n}"))
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,5 +32,6 @@
 pub mod net;
 pub use wheelpier_pgwire as pgwire;
 pub mod protocol;
+pub mod reasons;
 
 pub use wheelpier_decisions::*;
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -2,7 +2,8 @@
 
 use super::clock::Clock;
 use super::memory::Memory;
-use super::messages::{Answer, Arrival, AttemptEnd, Event, Mail, Probe, Request, Statement};
+use super::messages::{Answer, Arrival, AttemptEnd, Event, Invalid, Mail, Probe, Request, Statement};
+use super::turned::Turned;
 use super::upstream::{self, Command, Peer};
 use crate::budget::Ticket;
 use crate::config::Config;
@@ -12,6 +13,7 @@
     SettingsError, Time,
 };
 use crate::listing::{Listed, Listing};
+use crate::reasons::Reason;
 use crate::Router;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::future::poll_fn;
@@ -81,6 +83,7 @@
     pool: upstream::Pool,
     ready: watch::Sender<bool>,
     counters: Arc<Counters>,
+    turned: Turned,
     memory: Memory,
     config: Config,
     actions: Vec<Action>,
@@ -95,6 +98,7 @@
         events: mpsc::Sender<Event>,
         ready: watch::Sender<bool>,
         counters: Arc<Counters>,
+        turned: Turned,
         memory: Memory,
     ) -> Result<Self, SettingsError> {
         Ok(Self {
@@ -112,6 +116,7 @@
             pool: upstream::Pool::new(&config, Arc::clone(&counters)),
             ready,
             counters,
+            turned,
             memory,
             config,
             actions: Vec::new(),
@@ -174,24 +179,29 @@
         let retry_after = settings.retry_after.then_some(settings.max_retry_after);
         // Before the first list no group is known, but any may come.
         if self.groups.is_empty() || self.open >= self.config.most_held {
+            match self.groups.is_empty() {
+                true => self.turned.away(Reason::NotReady, "the list of ledger hosts has not come yet"),
+                false => self.turned.away(Reason::Held, "as many requests are held as may be"),
+            }
             self.counters.ended(Ended::Refused, class);
             return mail(&client, id, Answer::Refused { retry_after });
         }
         // The module would hold a request of a group that does not exist until its client leaves.
         if !self.groups.contains(&request.group) {
             self.counters.ended(Ended::Failed, class);
-            return mail(&client, id, Answer::Invalid(format!("there is no group {}", request.group)));
+            return mail(&client, id, Answer::Invalid(Invalid::Group(request.group)));
         }
         // Ledger hosts know a request by this name: with two of one name neither answer would be sure.
         if !self.names.insert(request.name.clone()) {
             self.counters.ended(Ended::Failed, class);
-            return mail(&client, id, Answer::Invalid("a request with this id is open".to_owned()));
+            return mail(&client, id, Answer::Invalid(Invalid::Id));
         }
         let room = self.memory.request(request.class, request.tenant, request.statement.text.len());
         let room = match room {
             Ok(room) => room,
             Err(refused) => {
                 self.names.remove(&request.name);
+                self.turned.away(Reason::Memory, "there is no room for a request");
                 self.counters.ended(Ended::Refused, class);
                 let retry_after = retry_after.and(refused.refusal.retry_after);
                 return mail(&client, id, Answer::Refused { retry_after });
@@ -382,6 +392,12 @@
         match action {
             Action::Send { id, host, timeout } => self.send(id, host, timeout).await,
             Action::Refuse { id, retry_after } => {
+                if let Some(held) = self.table.get(&id) {
+                    let class = self.config.names.classes.get(held.class).map_or("", |c| c.name.as_str());
+                    let sent = held.sent.len();
+                    self.turned
+                        .away(Reason::Policy, format_args!("a request of `{class}`, sent {sent} times"));
+                }
                 self.answer(id, Ended::Refused, Answer::Refused { retry_after });
             }
             Action::Fail { id } => self.answer(id, Ended::Failed, Answer::Failed),
--- a/src/net/frontend/client.rs
+++ b/src/net/frontend/client.rs
@@ -11,6 +11,7 @@
 use crate::net::memory::Reclaim;
 use crate::net::messages::{Answer, Arrival, Event, Mail, Request};
 use crate::protocol::Protocol;
+use crate::reasons::Reason;
 use bytes::BytesMut;
 use std::io;
 use std::sync::Arc;
@@ -168,6 +169,7 @@
     let linger = matches!(over, Some(Over::Fault(_)));
     if let Some(Over::Fault(fault) | Over::Seat(fault)) = over {
         client.door.counters.malformed();
+        client.turned(&fault);
         client.conversation.end(&fault, &mut client.out);
         // What it had begun is of no more use: others may be waiting for the room.
         client.read = BytesMut::new();
@@ -273,7 +275,10 @@
                     }
                     return Ok(());
                 }
-                () = shown_out => return Err(Over::Seat(Fault::Refused(self.door.retry_after))),
+                () = shown_out => {
+                    self.door.turned.away(Reason::Seat, "a newcomer that asked for nothing made room");
+                    return Err(Over::Seat(Fault::Refused(self.door.retry_after)));
+                }
                 () = sleep_until(closes.unwrap_or(self.came)), if closes.is_some() => return Ok(()),
                 Ok(()) = draining.changed() => {}
                 Ok(()) = quiesced.changed() => {}
@@ -341,7 +346,10 @@
                 // A drained proxy says no, so that the front sends new clients elsewhere.
                 match self.door.desk.serving() {
                     true => self.conversation.ready(&mut self.out),
-                    false => self.fault(&Fault::NotReady),
+                    false => {
+                        self.turned(&Fault::NotReady);
+                        self.fault(&Fault::NotReady);
+                    }
                 }
             }
             Step::Answered => self.asked = true,
@@ -364,6 +372,7 @@
         }
         if self.full() {
             // Without a time to come back at, a crowd would be back at once.
+            self.door.turned.away(Reason::Seat, "all seats are taken");
             self.fault(&Fault::Refused(self.door.retry_after));
             return Ok(());
         }
@@ -423,10 +432,18 @@
     /// Answers a statement that can be no request; the next one has to wait for it.
     fn senseless(&mut self, fault: &Fault) {
         self.door.counters.malformed();
+        self.turned(fault);
         self.wrong += 1;
         self.fault(fault);
     }
 
+    /// Whoever is turned away by no other than the door is counted here.
+    fn turned(&self, fault: &Fault) {
+        if let Some(reason) = fault.reason() {
+            self.door.turned.away(reason, fault.text());
+        }
+    }
+
     fn fault(&mut self, fault: &Fault) {
         self.conversation.fault(fault, &mut self.out);
     }
--- a/src/net/frontend/fault.rs
+++ b/src/net/frontend/fault.rs
@@ -1,8 +1,10 @@
 //! What clients are told when there is no value, in each protocol's own terms.
 
 use crate::interface::Time;
-use crate::pgwire::{self, WireError};
+use crate::net::messages::Invalid;
+use crate::pgwire::{self, StatementError, WireError};
 use crate::protocol::Protocol;
+use crate::reasons::Reason;
 use bytes::{BufMut, BytesMut};
 use wheelpier_tds::{
     numbers, put_done, put_error, put_message, Done, DoneKind, Notice, PacketType, Status, PACKET_SIZE,
@@ -28,10 +30,12 @@
     Left,
     /// The statement is no text.
     Encoding,
-    /// The statement has another form.
+    /// The statement has another form, or says too little or too much.
+    Statement(StatementError),
+    /// The call that brings the statement has another form.
     Syntax(String),
     /// The statement names what is not there, or does not fit its class.
-    Invalid(String),
+    Invalid(Invalid),
     /// A part of the protocol that is not served.
     Unsupported(String),
     /// A message is longer than is taken.
@@ -81,11 +85,11 @@
             Self::Left => "the client has ended the connection".to_owned(),
             Self::Encoding => "the statement is not UTF-8".to_owned(),
             Self::TooLong => "a message is longer than is taken here".to_owned(),
-            Self::Syntax(text)
-            | Self::Invalid(text)
-            | Self::Unsupported(text)
-            | Self::Broken(text)
-            | Self::Login(text) => text.clone(),
+            Self::Statement(problem) => problem.to_string(),
+            Self::Invalid(problem) => problem.to_string(),
+            Self::Syntax(text) | Self::Unsupported(text) | Self::Broken(text) | Self::Login(text) => {
+                text.clone()
+            }
             Self::Foreign(Foreign::Protocol(spoken, port)) => {
                 format!("this port speaks {port}, not {spoken}")
             }
@@ -93,6 +97,24 @@
         }
     }
 
+    /// As figures and logs name it; none where nothing is turned away, or where whoever did so has told.
+    pub fn reason(&self) -> Option<Reason> {
+        Some(match self {
+            Self::Refused(_) | Self::Failed | Self::Left => return None,
+            Self::NotReady => Reason::NotReady,
+            Self::Encoding => Reason::Encoding,
+            Self::Statement(StatementError::Form) | Self::Syntax(_) => Reason::Form,
+            Self::Statement(StatementError::Lacks(_)) => Reason::Lacks,
+            Self::Statement(StatementError::Twice(_)) => Reason::Twice,
+            Self::Statement(StatementError::Value(_)) => Reason::Value,
+            Self::Invalid(problem) => problem.reason(),
+            Self::Unsupported(_) | Self::Foreign(_) => Reason::Unsupported,
+            Self::TooLong => Reason::TooLong,
+            Self::Broken(_) => Reason::Broken,
+            Self::Login(_) => Reason::Login,
+        })
+    }
+
     /// Milliseconds to stay away, where they are told.
     fn wait(&self) -> Option<i64> {
         match self {
@@ -109,7 +131,7 @@
             Self::Failed => "58000",
             Self::Left => "57014",
             Self::Encoding => "22021",
-            Self::Syntax(_) => "42601",
+            Self::Statement(_) | Self::Syntax(_) => "42601",
             Self::Invalid(_) => "22023",
             Self::Unsupported(_) | Self::Foreign(_) => "0A000",
             Self::TooLong => "54000",
@@ -124,7 +146,7 @@
             Self::NotReady => numbers::UNAVAILABLE,
             Self::Failed => numbers::FAILED,
             Self::Left => numbers::LEFT,
-            Self::Encoding | Self::Syntax(_) => numbers::SYNTAX,
+            Self::Encoding | Self::Statement(_) | Self::Syntax(_) => numbers::SYNTAX,
             Self::Invalid(_) => numbers::INVALID,
             Self::Unsupported(_) | Self::Foreign(_) => numbers::UNSUPPORTED,
             Self::TooLong | Self::Broken(_) => numbers::PROTOCOL,
@@ -142,7 +164,7 @@
     pub fn put_tds(&self, kind: DoneKind, fatal: bool, out: &mut BytesMut) {
         let class = match self {
             _ if fatal => FATAL,
-            Self::Encoding | Self::Syntax(_) => SYNTAX_ERROR,
+            Self::Encoding | Self::Statement(_) | Self::Syntax(_) => SYNTAX_ERROR,
             _ => USERS_ERROR,
         };
         let message = match self.wait() {
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -11,10 +11,12 @@
 use super::console::Desk;
 use super::memory::{Memory, Reclaim};
 use super::messages::Event;
+use super::turned::Turned;
 use crate::config::Names;
 use crate::counters::Counters;
 use crate::interface::{RequestId, Time};
 use crate::protocol::Protocol;
+use crate::reasons::Reason;
 use std::collections::VecDeque;
 use std::future::poll_fn;
 use std::io;
@@ -71,6 +73,7 @@
     /// The longest time that a class of requests is given.
     pub longest: Duration,
     pub counters: Arc<Counters>,
+    pub turned: Turned,
     pub memory: Memory,
     pub reclaims: watch::Receiver<Vec<Arc<Reclaim>>>,
     /// When clients that find no seat may come back.
@@ -215,8 +218,16 @@
                         asked = Instant::now();
                         squeeze.send_replace(());
                     }
-                    let room = door.memory.connection().ok().zip(door.memory.buffers().ok());
-                    if let Some((connection, buffers)) = room.filter(|_| taken < door.limit + OVERFLOW) {
+                    let room = match taken < door.limit + OVERFLOW {
+                        true => door.memory.connection().ok().zip(door.memory.buffers().ok()),
+                        false => None,
+                    };
+                    if room.is_none() {
+                        let full = taken >= door.limit + OVERFLOW;
+                        let reason = if full { Reason::Seat } else { Reason::Memory };
+                        door.turned.away(reason, "a connection is closed at the door");
+                    }
+                    if let Some((connection, buffers)) = room {
                         let ids = Arc::clone(&ids);
                         let id = move || RequestId(ids.fetch_add(1, Relaxed));
                         let stranger = Arc::new(Notify::new());
--- a/src/net/frontend/request.rs
+++ b/src/net/frontend/request.rs
@@ -3,8 +3,8 @@
 use super::fault::Fault;
 use crate::config::Names;
 use crate::interface::{SessionId, Time};
-use crate::net::messages::{Request, Statement};
-use crate::pgwire::KvStatement;
+use crate::net::messages::{Invalid, Request, Statement};
+use crate::pgwire::{KvStatement, StatementError};
 use bytes::Bytes;
 use std::time::Duration;
 
@@ -14,24 +14,27 @@
 /// Reads a statement, at a moment of the module's time.
 ///
 /// # Errors
-/// When it has another form, names a class that is not there or does not fit it.
+/// When it has another form, names a class that is not there or does not fit it, or lacks what this
+/// installation needs of it: a tenant where the settings have tenants, a key where its class is keyed.
 pub(super) fn read(text: Bytes, names: &Names, now: Time) -> Result<Request, Fault> {
     let words = std::str::from_utf8(&text).map_err(|_| Fault::Encoding)?;
     let KvStatement { write, key, value_at, comment } =
-        KvStatement::parse(words).map_err(|e| Fault::Syntax(e.to_string()))?;
+        KvStatement::parse(words).map_err(Fault::Statement)?;
     let class = names.classes.iter().position(|class| class.open && class.name == comment.class);
-    let class = class.ok_or_else(|| Fault::Invalid(format!("there is no class `{}`", comment.class)))?;
+    let class = class.ok_or_else(|| Fault::Invalid(Invalid::Class(comment.class.clone())))?;
     let form = &names.classes[class];
     if form.write != write {
         let does = if form.write { "writes" } else { "reads" };
-        let problem = format!("the class `{}` {does}, the statement does not", form.name);
-        return Err(Fault::Invalid(problem));
+        return Err(Fault::Invalid(Invalid::Kind { class: form.name.clone(), does }));
     }
     if form.keyed && comment.key.is_none() {
-        return Err(Fault::Syntax("the comment lacks `k`".to_owned()));
+        return Err(Fault::Statement(StatementError::Lacks("k")));
+    }
+    if comment.tenant.is_none() && !names.tenants.is_empty() {
+        return Err(Fault::Statement(StatementError::Lacks("t")));
     }
     // A tenant that the settings do not name has no share of its own: the module gives it full worth.
-    let tenant = names.tenants.iter().position(|name| *name == comment.tenant);
+    let tenant = names.tenants.iter().position(|name| Some(name) == comment.tenant.as_ref());
     let after = comment.after_ms.filter(|ms| *ms > 0.0).map(|ms| Time((ms * 1e3) as i64));
     // One that stands ahead of the clock was made just now.
     let since_write = after.map(|at| Time((now.0 - at.0).max(1)));
--- a/src/net/memory.rs
+++ b/src/net/memory.rs
@@ -4,6 +4,8 @@
 use super::clock::Clock;
 use crate::budget::plan::{Plan, SOLE};
 use crate::budget::{AccountId, Budget, Due, Purpose, Refused, Ticket, PURPOSES};
+use crate::interface::Time;
+use crate::state::telling::Telling;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,7 +20,7 @@
 /// What is still overdue after it was taken back is asked for again after this time.
 const PAUSE: Duration = Duration::from_millis(100);
 /// A refusal is written to the log no more often than this, by purpose; the next line counts those between.
-const LOGGED: Duration = Duration::from_secs(1);
+const LOGGED: Time = Time(1_000_000);
 
 /// Buffers of an account that are to be taken back: whoever of it can spare something claims a part.
 #[derive(Debug)]
@@ -110,10 +112,10 @@
 
     /// Watches the recalls for ever: what is not given back in time is taken from clients' buffers.
     pub async fn watch(self, reclaims: watch::Sender<Vec<Arc<Reclaim>>>) {
-        let mut log = Refusals::default();
+        let mut log = Refusals::new();
         loop {
             self.refused.notified().await;
-            log.note(&self.budget);
+            log.note(&self.budget, self.clock.now());
             loop {
                 let dues = self.budget.overdue(self.clock.now());
                 let taken: Vec<Arc<Reclaim>> = dues.iter().filter_map(reclaim).collect();
@@ -125,7 +127,7 @@
                 tokio::select! {
                     () = tokio::time::sleep_until(at) => {}
                     () = self.refused.notified() => {
-                        log.note(&self.budget);
+                        log.note(&self.budget, self.clock.now());
                         sleep(PAUSE).await;
                     }
                 }
@@ -140,22 +142,24 @@
 }
 
 /// Refusals as the log has them.
-#[derive(Debug, Default)]
 struct Refusals {
-    told: [u64; PURPOSES.len()],
-    at: [Option<Instant>; PURPOSES.len()],
+    seen: [u64; PURPOSES.len()],
+    telling: Telling<Purpose>,
 }
 
 impl Refusals {
-    fn note(&mut self, budget: &Budget) {
+    fn new() -> Self {
+        Self { seen: [0; PURPOSES.len()], telling: Telling::new(LOGGED) }
+    }
+
+    fn note(&mut self, budget: &Budget, now: Time) {
         for purpose in PURPOSES {
-            let n = purpose as usize;
+            let seen = &mut self.seen[purpose as usize];
             let refused = budget.refusals(purpose);
-            let rested = self.at[n].is_none_or(|at| at.elapsed() >= LOGGED);
-            if refused > self.told[n] && rested {
-                let (more, used) = (refused - self.told[n], budget.used(purpose));
+            let more = refused - std::mem::replace(seen, refused);
+            if let Some(more) = self.telling.note(now, purpose, more) {
+                let used = budget.used(purpose);
                 tracing::warn!("memory: no room for {purpose}: {more} refused, {used} bytes in use");
-                (self.told[n], self.at[n]) = (refused, Some(Instant::now()));
             }
         }
     }
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -2,6 +2,7 @@
 
 use crate::interface::{HostId, Outcome, Position, Report, RequestId, Role, SessionId, Time};
 use crate::listing::Listing;
+use crate::reasons::Reason;
 use bytes::Bytes;
 use std::ops::Range;
 use std::time::Duration;
@@ -88,7 +89,45 @@
     /// No value could be had; it may have had an effect.
     Failed,
     /// The request itself makes no sense.
-    Invalid(String),
+    Invalid(Invalid),
+}
+
+/// What of a well-formed statement does not fit to this installation.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Invalid {
+    /// No class is called so, or it takes no more requests.
+    #[error("there is no class `{0}`")]
+    Class(String),
+    /// It writes where its class reads, or the other way round.
+    #[error("the class `{class}` {does}, the statement does not")]
+    Kind {
+        /// The class.
+        class: String,
+        /// What statements of the class do.
+        does: &'static str,
+    },
+    /// Discovery names no such group.
+    #[error("there is no group {0}")]
+    Group(u32),
+    /// Ledger hosts know requests by their ids: of two with one id neither answer would be sure.
+    #[error("a request with this id is open")]
+    Id,
+    /// A parameter's value cannot stand in a statement.
+    #[error("{0}")]
+    Parameter(String),
+}
+
+impl Invalid {
+    /// As figures and logs name it.
+    pub fn reason(&self) -> Reason {
+        match self {
+            Self::Class(_) => Reason::Class,
+            Self::Kind { .. } => Reason::Kind,
+            Self::Group(_) => Reason::Group,
+            Self::Id => Reason::Id,
+            Self::Parameter(_) => Reason::Value,
+        }
+    }
 }
 
 /// What a client's actor is sent.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod frontend;
 pub(crate) mod memory;
 pub mod messages;
+pub(crate) mod turned;
 pub(crate) mod upstream;
 
 use crate::budget::Budget;
@@ -25,6 +26,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
+use turned::Turned;
 
 /// Events that may wait for the module's actor.
 const CORE_MAILBOX: usize = 1024;
@@ -116,6 +118,7 @@
         let zones = config.names.zones.clone();
         let clock = clock::Clock::start();
         let memory = Memory::new(budget, config.plan.clone(), clock);
+        let turned = Turned::new(Arc::clone(&counters), clock);
         let (reclaims, reclaimed) = watch::channel(Vec::new());
         let door = frontend::Door {
             clock,
@@ -125,6 +128,7 @@
             draining,
             longest: longest(&config),
             counters: Arc::clone(&counters),
+            turned: turned.clone(),
             memory: memory.clone(),
             reclaims: reclaimed,
             retry_after: config.settings.retry_after.then_some(config.settings.max_retry_after),
@@ -136,6 +140,7 @@
             events.clone(),
             ready,
             Arc::clone(&counters),
+            turned,
             memory.clone(),
         );
         let core = core.map_err(io::Error::other)?;
--- /dev/null
+++ b/src/net/turned.rs
@@ -0,0 +1,36 @@
+//! What is turned away: counted by reason, and logged with what was wrong, each reason at a bounded rate. A proxy that
+//! refuses everybody says so.
+
+use super::clock::Clock;
+use crate::counters::Counters;
+use crate::interface::Time;
+use crate::reasons::Reason;
+use crate::state::telling::Telling;
+use std::fmt::Display;
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// A reason is logged once in this time at the most.
+const LOGGED: Time = Time(1_000_000);
+
+/// The one place that tells of it; copies share it.
+#[derive(Clone, Debug)]
+pub(crate) struct Turned {
+    counters: Arc<Counters>,
+    clock: Clock,
+    telling: Arc<Mutex<Telling<Reason>>>,
+}
+
+impl Turned {
+    pub fn new(counters: Arc<Counters>, clock: Clock) -> Self {
+        Self { counters, clock, telling: Arc::new(Mutex::new(Telling::new(LOGGED))) }
+    }
+
+    /// Something was turned away for that reason; `what` was wrong with it.
+    pub fn away(&self, reason: Reason, what: impl Display) {
+        self.counters.turned(reason);
+        let mut telling = self.telling.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(count) = telling.note(self.clock.now(), reason, 1) {
+            tracing::warn!("turned away ({reason}): {what}; {count} since the last word on it");
+        }
+    }
+}
--- /dev/null
+++ b/tests/sockets/deployments.rs
@@ -0,0 +1,191 @@
+//! Installations that differ: whatever settings may leave out, clients are served, and who is turned away is told why.
+
+use crate::scenario::{play_in, play_tds_in, settings};
+use rstest::rstest;
+use serde_json::{json, Value};
+
+/// What the settings of these tests may leave out, by path.
+const OPTIONAL: [&str; 33] = [
+    "/goal",
+    "/customers",
+    "/overShareWorth",
+    "/prices",
+    "/locality",
+    "/tick",
+    "/areas",
+    "/grades/0/lateWorth",
+    "/grades/2/group",
+    "/familyInfo/answersStamped",
+    "/familyInfo/baseTime",
+    "/familyInfo/classBound",
+    "/familyInfo/roleInList",
+    "/familyInfo/wait",
+    "/familyInfo/whenBehind",
+    "/familyInfo/writeMarks",
+    "/guarantees/answerSlack",
+    "/guarantees/askWithin",
+    "/guarantees/cold",
+    "/guarantees/coldFrom",
+    "/guarantees/fall",
+    "/guarantees/fallMultiple",
+    "/guarantees/removalNotBinding",
+    "/limits/maxRetryAfter",
+    "/limits/mayCancel",
+    "/limits/probes",
+    "/limits/retryAfter",
+    "/limits/secondCopies",
+    "/limits/connectTimeout",
+    "/limits/keepalive",
+    "/limits/mostHeld",
+    "/report/fields",
+    "/goal/worstClass",
+];
+
+/// The scenarios' settings with every part that they may have.
+fn full() -> Value {
+    let mut all: Value = serde_json::from_str(&settings()).unwrap();
+    all["goal"] = json!({"whole": 0.6, "worstWindow": 0.2, "worstClass": 0.2, "worstTenant": 0});
+    all["prices"] = json!({"crossZone": 0.02, "probe": 0.02, "waste": 0.08, "handshake": 0.0});
+    all["overShareWorth"] = json!(0.1);
+    all["familyInfo"]["baseTime"] = json!(0.0);
+    all["familyInfo"]["classBound"] = json!([0, 0, 0]);
+    let guarantees =
+        [("answerSlack", json!(0.02)), ("askWithin", json!(10)), ("removalNotBinding", json!(false))];
+    guarantees.into_iter().for_each(|(key, value)| all["guarantees"][key] = value);
+    all
+}
+
+fn without(mut all: Value, path: &str) -> Value {
+    let (parent, key) = path.rsplit_once('/').unwrap();
+    let parent = all.pointer_mut(parent).and_then(Value::as_object_mut).expect("a part of the settings");
+    assert!(parent.remove(key).is_some(), "{path} is not there");
+    all
+}
+
+fn with(mut all: Value, path: &str, value: Value) -> Value {
+    *all.pointer_mut(path).unwrap() = value;
+    all
+}
+
+/// A read, a session's write and its read, each served by the primary alone, without a tenant where there is none.
+fn serves_a_client(settings: &Value) {
+    let tenant = match settings.get("customers").and_then(Value::as_array) {
+        Some(all) if !all.is_empty() => "t=acme,",
+        _ => "",
+    };
+    let read = "SELECT content FROM kv WHERE name = 'k1'";
+    let write = "INSERT INTO kv (name, content) VALUES ('k1', '\\x00') RETURNING content";
+    let text = format!(
+        "
+        c1 send startup
+        c1 expect ready
+        c1 send text
+        c1 expect empty
+        c1 send text {read} /* id=q1,c=any,{tenant}d=2900,cluster=0 */
+        h1 expect id=q1
+        h1 send value one primary
+        c1 expect value one
+        c1 send text {write} /* id=q2,c=write,{tenant}d=2900,k=7,cluster=0 */
+        h1 expect id=q2
+        h1 send value two primary
+        c1 expect value two
+        c1 send text {read} /* id=q3,c=own,{tenant}d=2900,cluster=0 */
+        h1 expect id=q3
+        h1 send value three primary
+        c1 expect value three"
+    );
+    play_in(&settings.to_string(), 1, &text);
+}
+
+/// Each optional part left out in turn, and all of them at once.
+#[test]
+fn a_client_is_served_whatever_part_the_settings_leave_out() {
+    for path in OPTIONAL {
+        eprintln!("without {path}");
+        serves_a_client(&without(full(), path));
+    }
+    let (nested, whole): (Vec<&str>, Vec<&str>) =
+        OPTIONAL.into_iter().partition(|path| path.starts_with("/goal/"));
+    assert_eq!(nested, ["/goal/worstClass"]);
+    serves_a_client(&whole.into_iter().fold(full(), without));
+}
+
+/// Parts that stand there and say nothing, or something else than here.
+#[rstest]
+#[case("/customers", json!([]))]
+#[case("/customers", json!([{"name": "acme", "quotaPerS": 0}]))]
+#[case("/areas", json!([]))]
+#[case("/areas", json!(["a", "b", "z"]))]
+#[case("/goal", json!({}))]
+#[case("/prices", json!({}))]
+#[case("/discovery", json!("on_request"))]
+#[case("/balancers", json!(3))]
+#[case("/balancers", json!(300))]
+#[case("/locality", json!(2))]
+#[case("/tick", json!(0))]
+#[case("/report", json!({"how": "off", "fields": []}))]
+#[case("/report", json!({"how": "inline", "fields": ["cpu"]}))]
+#[case("/familyInfo/whenBehind", json!("off"))]
+#[case("/familyInfo/whenBehind", json!("refuse"))]
+#[case("/familyInfo/writeMarks", json!("carried"))]
+#[case("/familyInfo/roleInList", json!("late"))]
+#[case("/familyInfo/roleInList", json!("start"))]
+#[case("/familyInfo/freshness", json!(["fresh", "session", "write"]))]
+#[case("/limits/probes", json!(false))]
+#[case("/limits/mayCancel", json!(false))]
+#[case("/limits/secondCopies", json!(false))]
+#[case("/limits/retryAfter", json!(false))]
+#[case("/limits/maxAttempts", json!(1))]
+#[case("/limits/mostHeld", json!(1))]
+#[case("/limits/keepalive", json!(30))]
+#[case("/guarantees/cold", json!(0))]
+#[case("/guarantees/removalNotBinding", json!(true))]
+#[case("/grades/2/repeat", json!("side_effect"))]
+#[case("/grades/2/group", json!("all"))]
+fn a_client_is_served_whatever_a_part_says(#[case] path: &str, #[case] value: Value) {
+    serves_a_client(&with(full(), path, value));
+}
+
+fn no_tenants() -> String {
+    without(full(), "/customers").to_string()
+}
+
+/// Found on an installation without tenants: each statement was turned away, and nobody was told.
+#[test]
+fn without_tenants_a_statement_needs_none_and_with_tenants_its_lack_is_told_and_counted() {
+    serves_a_client(&without(full(), "/customers"));
+    play_in(
+        &settings(),
+        1,
+        "
+        c1 send startup
+        c1 expect ready
+        c1 send text SELECT content FROM kv WHERE name = 'k1' /* id=q1,c=any,d=900,cluster=0 */
+        c1 expect error 42601
+        proxy expect log turned away (lacks) the comment lacks `t`
+        operator send stats
+        operator expect gw.turned.lacks=1 gw.turned.form=0
+        c1 send text SELECT content FROM kv WHERE name = 'k1' /* id=q2,c=none,t=acme,d=900,cluster=0 */
+        c1 expect error 22023
+        proxy expect log turned away (class) there is no class `none`
+        operator send stats
+        operator expect gw.turned.class=1",
+    );
+}
+
+#[test]
+fn clients_of_the_other_protocol_need_no_tenant_either() {
+    play_tds_in(
+        &no_tenants(),
+        1,
+        "
+        t1 send prelogin
+        t1 expect prelogin
+        t1 send login
+        t1 expect ready 74000004
+        t1 send text SELECT content FROM kv WHERE name = 'k1' /* id=q1,c=any,d=900,cluster=0 */
+        h1 expect id=q1
+        h1 send value one primary
+        t1 expect value one",
+    );
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,5 +1,6 @@
 //! The program on sockets: conversations in the language of `scenario`.
 
+mod deployments;
 mod memory;
 mod proxy;
 mod scenario;
