Spare the primary reads only for latency beyond what the work itself takes

Ruled out: refusals at arrival (the ages are 178 to 216 ms, half of their time), unproven but fresh replicas (what they tell is stale), the group whose only fresh member is its primary (served 113 to 147 a second, full). Left: the other group, where a fresh replica and the primary served 165 to 205 a second while 30 to 60 reads a second found no host.

At fault: `spares_primary` took lateness in parts of the aim for load, but 50 ms of work in an aim of 300 ms is a sixth of it at an idle host too: with that, a third of the reads never went to a primary with room.

--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -653,7 +653,9 @@
         let unknown =
             1.0 - self.crowd.get(&(open.group, true)).map_or(0.0, |c| c.kept(self.now, CROWD_FADES_US));
         let waited = (self.now.0 - open.arrived.0) as f64 * 4.0 / self.s.classes[open.class].aim.0 as f64;
-        let late = self.lateness(open.group, true) / SPARED_AT;
+        // Work takes its time at an idle host too: only what comes on top is a sign that the primary is full.
+        let idle = self.pace[open.class].work / self.s.classes[open.class].aim.0 as f64;
+        let late = (self.lateness(open.group, true) - idle) / (SPARED_AT - idle).max(SPARED_AT / 2.0);
         Self::luck(open, 0, 0) < late + unknown * (0.5 - waited).max(0.0)
     }
 
--- a/crates/decisions/tests/scale.rs
+++ b/crates/decisions/tests/scale.rs
@@ -182,6 +182,26 @@
     assert!(quick > 5 && late == 0, "{quick} {late}");
 }
 
+/// Work that takes a third of its aim takes as long at an idle primary, which is no reason to spare it reads that no
+/// replica is fresh enough for (the second deployment's days on which replicas are cut off from their primary).
+#[test]
+fn an_idle_primary_is_spared_no_reads_however_long_their_work_takes() {
+    let mut world = World::known(Settings { second_copies: false, may_probe: false, ..settings() }, 1);
+    let mut one = |latency: i64| {
+        let (id, sent) = world.ask(2, None);
+        let at_once = sends(&sent).len();
+        let sent = if at_once == 0 { world.wait(120) } else { sent };
+        match sends(&sent).is_empty() {
+            true => _ = world.wait(2_000),
+            false => _ = answer(&mut world, id, &sent, Outcome::Ok, latency),
+        }
+        at_once
+    };
+    (0..60).for_each(|_| _ = one(150 * MS));
+    let at_once: usize = (0..40).map(|_| one(150 * MS)).sum();
+    assert!(at_once >= 38, "{at_once} of 40 went at once");
+}
+
 /// Shares are told by what each customer asks of this router, however small a part of all that is.
 #[test]
 fn a_customer_over_its_share_waits_behind_one_within() {
