Take tenants at SIGHUP, and count as ejected the hosts that the decisions avoid

Need: new settings may bring tenants and take them away, and the first file's held until a restart; `ejected` was the number of draining hosts, whatever the decisions thought of the others.

Tenants keep their numbers as classes do, new ones come behind, one left out has no quota and no name. The module says how many listed hosts it avoids (drain, rest, err), looked at with each list and timer.

Tests: a tenant that vanishes and comes back, one that is new and over its share waits behind the others, hosts counted from their first failure to their next answer.

--- a/crates/decisions/src/load/mod.rs
+++ b/crates/decisions/src/load/mod.rs
@@ -2,6 +2,8 @@
 
 mod faded;
 mod pace;
+mod rest;
 
 pub use faded::Faded;
 pub use pace::Pace;
+pub use rest::Rest;
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -6,7 +6,7 @@
 
 use crate::check::check;
 use crate::interface::*;
-use crate::load::{Faded, Pace};
+use crate::load::{Faded, Pace, Rest};
 use crate::state::sessions::Sessions;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -104,8 +104,7 @@
     late: Faded,
     /// Part of its answers that were errors.
     errs: Faded,
-    failures: u32,
-    rests_until: Time,
+    rest: Rest,
     probed: Option<Time>,
     probing: bool,
     wanted: bool,
@@ -203,9 +202,11 @@
         })
     }
 
-    /// Takes settings read anew, checked as at the start; classes keep their numbers, new ones come behind.
+    /// Takes settings read anew, checked as at the start; classes and customers keep their numbers, new ones
+    /// come behind.
     pub fn retune(&mut self, settings: Settings) {
         self.pace.extend(settings.classes.iter().skip(self.pace.len()).map(|c| Pace::of(c.aim)));
+        self.asked.extend(settings.quotas.iter().skip(self.asked.len()));
         self.s = settings;
     }
 
@@ -267,7 +268,7 @@
             let started = if new && self.started { Some(since.unwrap_or(self.now)) } else { since };
             if started != host.started {
                 host.started = started;
-                (host.failures, host.rests_until) = (0, Time(0));
+                host.rest = Rest::default();
             }
             // The list is the weakest evidence of a role: it only makes us ask.
             host.wanted |= !new && e.leader && !host.leader;
@@ -539,7 +540,7 @@
     /// Not where a primary is known that may answer, nor where the same was heard just now.
     fn guess(&self, id: HostId, host: &Host, open: &Open) -> Option<Fit> {
         let write = self.needs_primary(open);
-        let known = write && self.primary(open.group).is_some_and(|p| !self.rests(&self.hosts[&p]));
+        let known = write && self.primary(open.group).is_some_and(|p| !self.hosts[&p].rest.rests(self.now));
         let told = if write { host.role.map(|(_, at)| at) } else { host.heard };
         let lag = told.filter(|_| !write).map_or(0, |at| at.0 - host.known.0);
         let due = match told {
@@ -585,7 +586,7 @@
         let class = &self.s.classes[open.class];
         let write = class.freshness == Freshness::Write;
         // A group is never shut out whole: when all its members are sick, reads go to them all the same.
-        let able = |h: &Host| self.usable(h) && !self.rests(h);
+        let able = |h: &Host| self.usable(h) && !h.rest.rests(self.now);
         let healthy = self.members(open.group).any(|(_, h)| able(h));
         // Reads that freeze a replica stay on some, so that the others apply. The list is sorted alike at all
         // routers: they set the same ones aside. Harms where such reads are most of the traffic.
@@ -602,7 +603,7 @@
                 behind.push(host_id);
                 continue;
             };
-            let sick = self.rests(host);
+            let sick = host.rest.rests(self.now);
             let spared = fit == Fit::Primary && !self.needs_primary(open);
             let tried = (fit == Fit::Likely && open.missed.contains(&host_id))
                 || self.out.range((id, 0)..=(id, u32::MAX)).any(|(_, a)| a.host == host_id);
@@ -630,7 +631,7 @@
         // For a write the member last shown as primary is asked, and if that is sick everyone. For a read,
         // where hosts check reads and nobody is proven, one that was short: the longest unasked.
         let proven = best.as_ref().is_some_and(|((_, fit, ..), _)| write || *fit == Fit::Proven);
-        let primary = self.primary(open.group).filter(|p| write && self.hosts[p].failures == 0);
+        let primary = self.primary(open.group).filter(|p| write && !self.hosts[p].rest.failing());
         if !write {
             behind.sort_by_key(|id| self.hosts[id].probed);
             behind.truncate(usize::from(self.s.checks_reads().is_some()));
@@ -712,7 +713,7 @@
         if members().any(|(id, _)| self.fit(id, open) == Some(Fit::Proven)) {
             return false;
         }
-        let able = members().filter(|(_, h)| self.usable(h) && h.failures == 0);
+        let able = members().filter(|(_, h)| self.usable(h) && !h.rest.failing());
         // Of those never heard of any one: all routers asking the same would all send there.
         let first = |id: &HostId, h: &Host| (self.likely(h), Self::luck(open, id.0, 0).to_bits());
         let Some((host, h)) = able.max_by_key(|(id, h)| first(id, h)) else { return false };
@@ -731,10 +732,7 @@
         open.attempts += 1;
         open.out += 1;
         host.in_flight += 1;
-        if host.failures > 0 {
-            // A host that failed gets one trial at a time.
-            host.rests_until = Time(self.now.0 + REST_US.0);
-        }
+        host.rest.tried(self.now, REST_US.0);
         let attempt = Attempt { host: host_id, class: open.class, sent: self.now, dropped: false };
         self.out.insert((id, number), attempt);
         actions.push(Action::Send { id, host: host_id, timeout: None });
@@ -825,8 +823,10 @@
 
     // ---- Health: judged against peers ------------------------------------------------------------------
 
-    fn rests(&self, host: &Host) -> bool {
-        host.failures > 0 && self.now < host.rests_until
+    /// Listed hosts that get nothing, or only where there is no other: those that drain, rest or err.
+    pub fn avoided(&self) -> usize {
+        let bad = |h: &Host| !self.usable(h) || h.rest.rests(self.now) || self.errs(h) > ERRING.0;
+        self.hosts.values().filter(|h| h.listed != HostState::Deleted && bad(h)).count()
     }
 
     fn judge(&mut self, attempt: &Attempt, r: &Reply) {
@@ -848,7 +848,8 @@
         }
         match r.outcome {
             Outcome::Ok | Outcome::Miss | Outcome::Error => {
-                (host.failures, host.alive) = (0, Some(self.now));
+                host.rest.answered();
+                host.alive = Some(self.now);
             }
             // A host that fails at once looks idle and would draw everything. Covers draining not yet listed,
             // full queues, dead processes. One that answered lately is not dead, only full: its first rest is
@@ -914,17 +915,14 @@
     }
 
     fn failed(&mut self, id: HostId, rest: i64) {
-        let Some(host) = self.hosts.get_mut(&id) else { return };
-        host.failures += 1;
-        let until = Time(self.now.0 + (rest << (host.failures - 1).min(6)).min(REST_US.1));
-        host.rests_until = host.rests_until.max(until);
+        self.hosts.entry(id).and_modify(|host| host.rest.failed(self.now, rest, REST_US.1));
     }
 
     /// Hosts whose attempts are overdue fail together; when most do, the cause is shared and nobody is sick.
     fn watch_silence(&mut self) {
         let busy: BTreeSet<HostId> = self.out.values().map(|a| a.host).collect();
         let silent = |id: HostId, sent: Time| {
-            self.hosts.get(&id).is_some_and(|h| h.failures == 0 && h.alive.is_none_or(|at| at < sent))
+            self.hosts.get(&id).is_some_and(|h| !h.rest.failing() && h.alive.is_none_or(|at| at < sent))
         };
         let late =
             self.out.values().filter(|a| (self.now.0 - a.sent.0) as f64 > SILENT * self.pace[a.class].mean);
@@ -941,7 +939,7 @@
         let Some(open) = self.open.get(&id).filter(|open| open.out == 1) else { return };
         let Some((_, attempt)) = self.out.range((id, 0)..=(id, u32::MAX)).next() else { return };
         let host = self.hosts.get(&attempt.host);
-        let silent = host.is_some_and(|h| h.failures > 0);
+        let silent = host.is_some_and(|h| h.rest.failing());
         // Where all is late a copy only adds to it, and many routers each see too little to tell.
         let calm = self.full_at() / self.s.crowding();
         let calm = self.lateness(open.group, host.is_some_and(|h| self.is_primary(h))) < calm;
--- a/crates/decisions/tests/failures.rs
+++ b/crates/decisions/tests/failures.rs
@@ -304,3 +304,24 @@
     let elsewhere = world.event(Event::Arrival(of(0, 40_001, 1, 1)));
     assert_eq!(sends(&elsewhere), [11]);
 }
+
+/// What operators read as `ejected`: hosts that the list names and that get nothing, or only where there is no other.
+#[test]
+fn hosts_that_rest_or_drain_are_avoided_until_they_answer_or_run_again() {
+    let mut world = World::known(settings(), 4);
+    assert_eq!(world.router.avoided(), 0);
+    let (id, sent) = world.ask(0, None);
+    let host = sends(&sent)[0];
+    world.attempt(id, 0, host, Outcome::ConnectFailed, 5 * MS);
+    assert_eq!(world.router.avoided(), 1, "one rests");
+    let drained = (host + 1) % 4;
+    let list = |state| Event::Hosts(ListKind::Update, vec![HostEntry::new(HostId(drained), 0, state)]);
+    world.event(list(HostState::Stopping));
+    assert_eq!(world.router.avoided(), 2, "one rests, one drains");
+    world.event(list(HostState::Deleted));
+    assert_eq!(world.router.avoided(), 1, "what the list names no more is not counted");
+    world.event(list(HostState::Running));
+    world.now += 4_000 * MS;
+    world.event(Event::Timer(0));
+    assert_eq!(world.router.avoided(), 0, "its rest is over");
+}
--- a/crates/decisions/tests/retune.rs
+++ b/crates/decisions/tests/retune.rs
@@ -34,3 +34,22 @@
     assert!(sends(&failed).is_empty(), "one attempt only: {failed:?}");
     assert_eq!(finals(&failed).len(), 1, "and the client hears at once: {failed:?}");
 }
+
+/// Two customers within their shares wait alike; one that the new settings bring has a share of its own, and what it
+/// asks beyond that waits behind the others.
+#[test]
+fn a_customer_that_the_new_settings_bring_has_a_share_of_its_own() {
+    let quotas = |all: &[f64]| Settings { quotas: all.to_vec(), over_share_worth: 0.1, ..settings() };
+    let mut world = World::known(quotas(&[50.0]), 1);
+    world.router.retune(quotas(&[50.0, 50.0]));
+    let mut request = |n: u64, tenant: usize| {
+        let request = Request { tenant, ..Request::new(RequestId(n), 0, 0, 2_000 * MS) };
+        world.event(Event::Arrival(request))
+    };
+    let first: Vec<Action> = (0..200).flat_map(|n| request(n, 1)).collect();
+    let out = sends(&first).len();
+    assert!((1..100).contains(&out), "the rest is held: {out}");
+    request(200, 0);
+    let next = world.attempt(RequestId(0), 0, 0, Outcome::Ok, 50 * MS);
+    assert!(matches!(next[..], [Action::Send { id: RequestId(200), .. }, ..]), "{next:?}");
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -156,12 +156,13 @@
 
 /// What a statement's comment has to say here, by class: whatever lacks it is turned away.
 fn accepts(names: &Names) -> Vec<String> {
-    let tenants = match &names.tenants[..] {
+    let named: Vec<&str> = names.tenants.iter().map(|tenant| tenant.name.as_str()).collect();
+    let tenants = match named[..] {
         [] => "none: comments need no `t`".to_owned(),
-        named => format!("{}; each comment needs its `t`", named.join(", ")),
+        _ => format!("{}; each comment needs its `t`", named.join(", ")),
     };
     let comment = |class: &ClassName| {
-        let tenant = if names.tenants.is_empty() { "" } else { ",t=TENANT" };
+        let tenant = if names.has_tenants() { ",t=TENANT" } else { "" };
         let key = if class.keyed { ",k=KEY" } else { "" };
         format!("accepts      /* id=ID,c={}{tenant},d=MS{key},cluster=GROUP */", class.name)
     };
@@ -171,10 +172,12 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::config::TenantName;
 
     fn names(tenants: &[&str]) -> Names {
         let class = |name: &str, keyed| ClassName { name: name.to_owned(), keyed, ..ClassName::default() };
-        let tenants = tenants.iter().map(|name| (*name).to_owned()).collect();
+        let tenants =
+            tenants.iter().map(|name| TenantName { name: (*name).to_owned(), open: true }).collect();
         Names { classes: vec![class("look", false), class("pay", true)], tenants, zones: Vec::new() }
     }
 
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -45,7 +45,7 @@
     /// The classes, in the module's order.
     pub classes: Vec<ClassName>,
     /// Tenant names, in the module's order.
-    pub tenants: Vec<String>,
+    pub tenants: Vec<TenantName>,
     /// Zone names, in the module's order.
     pub zones: Vec<String>,
 }
@@ -63,6 +63,27 @@
     pub open: bool,
 }
 
+/// A tenant by its name.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TenantName {
+    /// Its name.
+    pub name: String,
+    /// Whether the settings still name it: one that new settings leave out keeps its number all the same.
+    pub open: bool,
+}
+
+impl Names {
+    /// The number of the tenant of that name.
+    pub fn tenant(&self, name: &str) -> Option<usize> {
+        self.tenants.iter().position(|tenant| tenant.open && tenant.name == name)
+    }
+
+    /// Whether there are tenants at all: statements have to say whose they are then.
+    pub fn has_tenants(&self) -> bool {
+        self.tenants.iter().any(|tenant| tenant.open)
+    }
+}
+
 /// All that a proxy is told at its start.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -220,7 +241,8 @@
     }
 
     /// Reads the file once more at SIGHUP, checked as at the start, and takes in what may change while the
-    /// proxy runs: where discovery answers, the classes and their terms, and the number of attempts. Classes
+    /// proxy runs: where discovery answers, the classes and their terms, the tenants and their quotas, and the number of
+    /// attempts. Classes
     /// keep their numbers, so that requests under way keep their class; a class that the file no longer names
     /// takes no new requests, and one that it names anew comes behind the others. All else holds until a
     /// restart.
@@ -268,10 +290,21 @@
                 }
             }
         }
+        let mut quotas: Vec<f64> = vec![0.0; self.names.tenants.len()];
+        let mut tenants = self.names.tenants.clone();
+        tenants.iter_mut().for_each(|tenant| tenant.open = false);
+        for (quota, tenant) in new.settings.quotas.into_iter().zip(new.names.tenants) {
+            match tenants.iter().position(|old| old.name == tenant.name) {
+                Some(at) => (quotas[at], tenants[at]) = (quota, tenant),
+                None => {
+                    quotas.push(quota);
+                    tenants.push(tenant);
+                }
+            }
+        }
         let mut merged = self.clone();
-        merged.settings =
-            crate::interface::Settings { classes, quotas: self.settings.quotas.clone(), ..new.settings };
-        merged.names.classes = names;
+        merged.settings = crate::interface::Settings { classes, quotas, ..new.settings };
+        (merged.names.classes, merged.names.tenants) = (names, tenants);
         merged.discovery = new.discovery;
         merged.max_attempts = new.max_attempts;
         merged
@@ -335,7 +368,7 @@
         let plan = Plan::new(&figures).map_err(|e| wrong("limits.memory_mb", e))?;
         let names = Names {
             classes: more.grades.into_iter().zip(&settings.classes).map(class_name).collect(),
-            tenants: more.customers.into_iter().map(|c| c.name).collect(),
+            tenants: more.customers.into_iter().map(|c| TenantName { name: c.name, open: true }).collect(),
             zones: more.areas,
         };
         let known = match file.known {
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -105,10 +105,14 @@
         add(&self.forwards);
     }
 
-    /// The list now names so many ledger hosts, and so many of them are avoided.
-    pub fn listed(&self, discovered: usize, ejected: usize) {
-        self.discovered.store(discovered as u64, Relaxed);
-        self.ejected.store(ejected as u64, Relaxed);
+    /// The list now names so many ledger hosts.
+    pub fn discovered(&self, hosts: usize) {
+        self.discovered.store(hosts as u64, Relaxed);
+    }
+
+    /// So many of them are avoided.
+    pub fn ejected(&self, hosts: usize) {
+        self.ejected.store(hosts as u64, Relaxed);
     }
 
     /// A configuration file was taken at SIGHUP, or turned down.
@@ -239,8 +243,9 @@
     fn forwards_list_and_sighup_are_told_as_they_stand() {
         let counters = Counters::default();
         counters.forwarded();
-        counters.listed(12, 3);
-        counters.listed(10, 1);
+        counters.discovered(12);
+        counters.discovered(10);
+        counters.ejected(1);
         counters.sighup(true);
         counters.sighup(false);
         counters.sighup(false);
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -57,8 +57,6 @@
     out: u32,
     /// Since when the list does not name it.
     gone: Option<Instant>,
-    /// As the list has it.
-    state: HostState,
 }
 
 enum Due {
@@ -313,7 +311,6 @@
             self.groups.insert(listed.group);
             if let Some(member) = self.members.get_mut(&host) {
                 member.gone = (listed.state == HostState::Deleted).then(|| member.gone.unwrap_or(now));
-                member.state = listed.state;
                 // A host's actor hears of it before any send that the module decides on from now on.
                 let protocol = self.config.operator.hosts.protocol(&listed.kind);
                 let Listed { address, state, .. } = listed;
@@ -329,11 +326,7 @@
             }
         }
         self.retire(now);
-        let listed = self.members.values().filter(|m| m.gone.is_none());
-        let (discovered, draining) = listed.fold((0, 0), |(all, draining), m| {
-            (all + 1, draining + usize::from(m.state == HostState::Stopping))
-        });
-        self.counters.listed(discovered, draining);
+        self.counters.discovered(self.members.values().filter(|m| m.gone.is_none()).count());
         let serves = entries.iter().any(|e| e.state == HostState::Running);
         self.tell(Told::Hosts(kind, entries)).await;
         if serves {
@@ -366,7 +359,7 @@
         self.numbers.insert(listed.name.clone(), host);
         let protocol = self.config.operator.hosts.protocol(&listed.kind);
         let peer = Peer::start(host, listed.address, protocol, self.pool.clone(), self.events.clone());
-        self.members.insert(host, Member { peer, out: 0, gone: None, state: listed.state });
+        self.members.insert(host, Member { peer, out: 0, gone: None });
         host
     }
 
@@ -379,7 +372,12 @@
             let mut actions = std::mem::take(&mut self.actions);
             let now = self.clock.now();
             tracing::trace!(at = now.0, "told {told:?}");
+            // Which hosts are avoided changes with the list and with time: looked at when either is told.
+            let looks = matches!(told, Told::Hosts(..) | Told::Timer(_));
             self.router.handle(now, told, &mut actions);
+            if looks {
+                self.counters.ejected(self.router.avoided());
+            }
             for action in actions.drain(..) {
                 tracing::trace!(at = now.0, "does {action:?}");
                 self.act(action).await;
--- a/src/net/frontend/request.rs
+++ b/src/net/frontend/request.rs
@@ -30,11 +30,11 @@
     if form.keyed && comment.key.is_none() {
         return Err(Fault::Statement(StatementError::Lacks("k")));
     }
-    if comment.tenant.is_none() && !names.tenants.is_empty() {
+    if comment.tenant.is_none() && names.has_tenants() {
         return Err(Fault::Statement(StatementError::Lacks("t")));
     }
     // A tenant that the settings do not name has no share of its own: the module gives it full worth.
-    let tenant = names.tenants.iter().position(|name| Some(name) == comment.tenant.as_ref());
+    let tenant = comment.tenant.as_deref().and_then(|name| names.tenant(name));
     let after = comment.after_ms.filter(|ms| *ms > 0.0).map(|ms| Time((ms * 1e3) as i64));
     // One that stands ahead of the clock was made just now.
     let since_write = after.map(|at| Time((now.0 - at.0).max(1)));
--- a/tests/sockets/proxy.rs
+++ b/tests/sockets/proxy.rs
@@ -766,6 +766,28 @@
     assert_ne!(program.exit(), 0);
 }
 
+/// New settings at SIGHUP: a tenant keeps its number and has its new quota, a new one comes behind, one left out has
+/// none and may come back; without any a statement needs none.
+#[test]
+fn new_settings_keep_the_numbers_of_tenants() {
+    let text = |customers: &str| {
+        let own = r#"[{"name":"acme","quotaPerS":100,"share":1}]"#;
+        assert!(settings().contains(own));
+        format!(r#"{{"settings":{}}}"#, settings().replace(own, customers))
+    };
+    let one = r#"[{"name":"acme","quotaPerS":100,"share":1}]"#;
+    let other = r#"[{"name":"shop","quotaPerS":30,"share":1}]"#;
+    let config = wheelpier::config::Config::read(&text(one), |_| Some("127.0.0.1:1".to_owned())).unwrap();
+    let new = config.retuned(&text(other)).unwrap();
+    assert_eq!((new.names.tenant("acme"), new.names.tenant("shop")), (None, Some(1)));
+    assert_eq!(new.settings.quotas, [0.0, 30.0]);
+    let none = new.retuned(&text("[]")).unwrap();
+    assert!(new.names.has_tenants() && !none.names.has_tenants());
+    let back = none.retuned(&text(one)).unwrap();
+    assert_eq!((back.names.tenant("acme"), back.names.tenant("shop")), (Some(0), None));
+    assert_eq!(back.settings.quotas, [100.0, 0.0]);
+}
+
 /// New settings at SIGHUP: a class keeps its number, a new one comes behind, one left out takes no new requests and
 /// may come back; fewer attempts hold; a faulty file is turned down whole.
 #[test]
