Wait for a discovery that is asked at least as long as it keeps a call itself

Cause: a call was given up after 1 s and the fleet's spread (1.2 s for four proxies).

Calls there are waited for 3 s at the least; discovery ends itself what has waited too long.

--- a/crates/decisions/src/membership/asking.rs
+++ b/crates/decisions/src/membership/asking.rs
@@ -12,6 +12,9 @@
 const BACK_OFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 /// A call that has not been answered by then is held to be lost, where nothing queues.
 const CALL: Duration = Duration::from_secs(1);
+/// And where calls queue: discovery itself fails what has waited too long, after 2 s at an installation that was seen,
+/// and answers the rest. Who leaves before has cost the others a turn and has learnt nothing.
+const QUEUED: Duration = Duration::from_secs(3);
 /// What one call may take of discovery: a fleet that asks anew together leaves this much for each of its proxies.
 /// A measured discovery served some 21 calls a second (`docs/measurements/003-large-fleet.md`).
 const SLOT: Duration = Duration::from_millis(50);
@@ -23,6 +26,7 @@
 /// Draws the moments at which one proxy asks discovery.
 #[derive(Debug)]
 pub struct Asking {
+    queues: bool,
     fleet: Duration,
     failures: u32,
     random: ChaCha8Rng,
@@ -33,7 +37,12 @@
     /// nothing, and the number of proxies does not matter.
     pub fn new(routers: u32, on_request: bool, seed: u64) -> Self {
         let others = if on_request { routers.saturating_sub(1) } else { 0 };
-        Self { fleet: SLOT * others, failures: 0, random: ChaCha8Rng::seed_from_u64(seed) }
+        Self {
+            queues: on_request,
+            fleet: SLOT * others,
+            failures: 0,
+            random: ChaCha8Rng::seed_from_u64(seed),
+        }
     }
 
     /// How long to wait before the first call of a proxy that already holds a list: many start together.
@@ -44,7 +53,8 @@
     /// How long a call may go unanswered. It may wait in a queue behind all other proxies' calls, and one that is
     /// given up there has cost its turn all the same.
     pub fn patience(&self) -> Duration {
-        CALL + self.fleet.min(SPREAD)
+        let least = if self.queues { QUEUED } else { CALL };
+        least.max(CALL + self.fleet.min(SPREAD))
     }
 
     /// Discovery is to be asked elsewhere: what failed before says nothing of that.
--- a/crates/decisions/tests/asking.rs
+++ b/crates/decisions/tests/asking.rs
@@ -4,9 +4,10 @@
 use std::{cmp::Reverse, time::Duration};
 use wheelpier_decisions::membership::Asking;
 
-/// Serves calls in turn, one each 50 ms; one that would wait longer than 2 s fails at once.
-const SERVES: Duration = Duration::from_millis(50);
-const QUEUE: usize = 40;
+/// A call that would wait longer than this fails at once.
+const WAITS: Duration = Duration::from_secs(2);
+/// What a call takes of a fast discovery.
+const FAST: Duration = Duration::from_millis(50);
 
 /// The next call that is due by now.
 fn pop_due(
@@ -19,7 +20,13 @@
 
 /// When each proxy was told, if all ask anew from nothing; the last of them. `None`: not all within a minute.
 fn last_told(routers: u32, on_request: bool, first: bool) -> Option<Duration> {
-    let mut fleet: Vec<Asking> = (0..routers).map(|n| Asking::new(routers, on_request, n.into())).collect();
+    let fleet = (0..routers).map(|n| Asking::new(routers, on_request, n.into())).collect();
+    last_told_by(FAST, fleet, first)
+}
+
+/// The same of a discovery that takes so long for a call, one after the other.
+fn last_told_by(serves: Duration, mut fleet: Vec<Asking>, first: bool) -> Option<Duration> {
+    let most = WAITS.div_duration_f64(serves) as usize;
     let mut due = BinaryHeap::new();
     for (n, asking) in fleet.iter_mut().enumerate() {
         let at = if first { asking.first() } else { Duration::ZERO };
@@ -30,9 +37,9 @@
     let mut told = vec![false; fleet.len()];
     let mut now = Duration::ZERO;
     while now < Duration::from_secs(60) {
-        now += SERVES;
+        now += serves;
         while let Some(Reverse((at, n))) = pop_due(&mut due, now) {
-            if queue.len() < QUEUE {
+            if queue.len() < most {
                 queue.push_back((n, at + fleet[n].patience()));
             } else {
                 due.push(Reverse((now + fleet[n].after_failure(false), n)));
@@ -63,6 +70,17 @@
     assert!(last < Duration::from_secs(30), "{last:?}");
 }
 
+/// The second deployment: a call takes up to a second, and its three or four proxies start in step. Who gives up
+/// before discovery does (1.2 s were too few) leaves a call there that costs the others their turn.
+#[test]
+fn a_few_that_start_in_step_wait_for_a_discovery_that_is_slow() {
+    for seed in 0..50 {
+        let fleet = (0..4).map(|n| Asking::new(4, true, seed * 4 + n)).collect();
+        let last = last_told_by(Duration::from_secs(1), fleet, true).expect("all are told");
+        assert!(last <= Duration::from_secs(8), "seed {seed}: {last:?}");
+    }
+}
+
 #[test]
 fn the_same_fleet_asking_as_if_each_were_alone_is_not() {
     assert_eq!(last_told(100, false, false), None);
