Decide who is in the fleet: views by ballots, leases that fence, advice kept apart from both

Need: a proxy knows nothing of the others: it cannot tell a dead peer from a paused one, or its own isolation from everybody else's death, and whatever must happen once (a takeover) needs more than a suspicion.

`agreement`: the voters of a view (the seven longest-standing) choose the next one by a ballot in two phases; members hold leases from a majority, counted from the asking by their own clocks within a stated drift; who accepted a proposal grants nothing until it is decided, so one lease's time after a view whoever is out of it knows so. `advice`: probes in random turns, through others, refutable suspicions, Lifeguard's additions, stand-stills noticed by late timers. `steward`: who goes by the rows of what voters hear themselves, who wishes, who flaps. `member`: all of it as one machine.

Found while checking, each with a test: a life that had never been heard of counted as free to be replaced (random scripts: an acting member and one that might act for it); a life let in and put out unseen could be let in again; a member held out for long said that it was stuck the moment it was let in and was put out for it, for ever.

--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -4,7 +4,9 @@
 use std::fmt;
 
 /// A moment or a span, in microseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
 pub struct Time(pub i64);
 
 /// A log position: the moment, in microseconds, up to which every commit is applied.
--- a/crates/decisions/src/membership/mod.rs
+++ b/crates/decisions/src/membership/mod.rs
@@ -1,5 +1,17 @@
-//! How a proxy, as one of many, learns which hosts there are. What the list says is judged by the module.
+//! A proxy as one of many: how it learns which hosts there are, and who its peers are.
+//!
+//! Of peers there are two kinds of knowledge, told apart by type. *Agreement* ([`agreement`]) says who is in the fleet by
+//! numbered views and leases; it may be built on. *Advice* says who seems to be gone, quickly and sometimes wrongly; it
+//! only makes somebody open a ballot.
 
+pub mod advice;
+pub mod agreement;
 mod asking;
+mod lease;
+pub mod member;
+pub mod steward;
+mod view;
 
 pub use asking::Asking;
+pub use lease::Terms;
+pub use view::{Change, Identity, Name, View, ELECTORS};
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 mod demo;
 pub mod fleet;
 pub mod load;
+pub mod members;
 mod parity;
 pub mod rig;
 mod starve;
--- /dev/null
+++ b/crates/lab/src/members.rs
@@ -0,0 +1,360 @@
+//! A fleet of members in virtual time: lossy, slow and cut links, each direction by itself; processes that are killed,
+//! stopped, continued and come back; clocks that run at speeds and from moments of their own. The rules are looked at
+//! on the way: one view with each number, and nobody free to be replaced that still acts.
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
+use wheelpier_decisions::membership::advice::Tempo;
+use wheelpier_decisions::membership::agreement::{Durable, Event};
+use wheelpier_decisions::membership::member::{Member, Message, Output, Rules};
+use wheelpier_decisions::membership::{Identity, Name, Terms, View};
+use wheelpier_decisions::Time;
+use wheelpier_standin::{MS, SECOND};
+
+/// What a datagram costs beside its message: addresses and lengths (28), who sends, the sequence and the fleet's mark (48).
+const AROUND: u64 = 76;
+
+/// What happens to the fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Trouble {
+    /// A process ends at once.
+    Kill(usize),
+    /// It begins, if it does not run.
+    Start(usize),
+    /// It stands still for so many microseconds.
+    Pause(usize, i64),
+    /// From the first to the second only.
+    Cut(usize, usize),
+    /// Those hear the others no more, nor the others them.
+    Split(Vec<usize>),
+    /// All links are well again.
+    Heal,
+    /// Of all links.
+    Loss(f64),
+    /// Of one member's links, both ways.
+    LossAt(usize, f64),
+    /// Of all links, at least and at most.
+    Delay(i64, i64),
+    /// It takes its leave.
+    Leave(usize),
+}
+
+struct Node {
+    member: Member,
+    /// Its clock: what it showed at the start, and how fast it runs.
+    zero: i64,
+    rate: f64,
+    boot: u64,
+    paused_until: i64,
+}
+
+enum Due {
+    Deliver(usize, Identity, Message),
+    Timer(usize, u64),
+    Trouble(Trouble),
+}
+
+/// The fleet.
+pub struct Fleet {
+    /// True time, in microseconds.
+    pub now: i64,
+    /// What members are called.
+    pub names: Vec<Name>,
+    seeds: Vec<Name>,
+    nodes: Vec<Option<Node>>,
+    disks: HashMap<Name, (Identity, Durable)>,
+    keeps: bool,
+    boots: u64,
+    random: ChaCha8Rng,
+    due: BinaryHeap<Reverse<(i64, u64)>>,
+    what: HashMap<u64, Due>,
+    sequence: u64,
+    cut: BTreeSet<(usize, usize)>,
+    loss: f64,
+    loss_at: BTreeMap<usize, f64>,
+    delay: (i64, i64),
+    /// Each view that was adopted, by number.
+    pub views: BTreeMap<u64, View>,
+    /// When each was first adopted.
+    pub adopted: BTreeMap<u64, i64>,
+    /// Bytes sent, with what goes round each message.
+    pub bytes: u64,
+    /// Messages sent.
+    pub messages: u64,
+    /// Who has taken its leave.
+    pub left: BTreeSet<usize>,
+    /// When each member first had each view.
+    pub known: BTreeMap<(u64, usize), i64>,
+}
+
+impl Fleet {
+    /// So many members, of which the first are the seeds; `keeps` says whether they have disks. All start at once.
+    pub fn new(members: usize, seeds: usize, keeps: bool, seed: u64) -> Self {
+        let names: Vec<Name> = (0..members).map(|n| format!("p{n:03}").as_str().into()).collect();
+        let mut fleet = Self {
+            now: 0,
+            seeds: names[..seeds].to_vec(),
+            names,
+            nodes: (0..members).map(|_| None).collect(),
+            disks: HashMap::new(),
+            keeps,
+            boots: 0,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            due: BinaryHeap::new(),
+            what: HashMap::new(),
+            sequence: 0,
+            cut: BTreeSet::new(),
+            loss: 0.0,
+            loss_at: BTreeMap::new(),
+            delay: (200, 2 * MS),
+            views: BTreeMap::new(),
+            adopted: BTreeMap::new(),
+            bytes: 0,
+            messages: 0,
+            left: BTreeSet::new(),
+            known: BTreeMap::new(),
+        };
+        (0..members).for_each(|n| fleet.start(n));
+        fleet
+    }
+
+    fn start(&mut self, n: usize) {
+        if self.nodes[n].is_some() {
+            return;
+        }
+        self.boots += 1;
+        let name = self.names[n].clone();
+        let rules = Rules { seeds: self.seeds.clone(), terms: Terms::default(), tempo: Tempo::default() };
+        let fresh = (Identity { name: name.clone(), life: self.boots }, Durable::default());
+        let (me, kept) = match self.disks.get(&name).filter(|_| self.keeps) {
+            Some(kept) => kept.clone(),
+            None => fresh,
+        };
+        let zero = self.random.random_range(-3_600 * SECOND..3_600 * SECOND);
+        let rate = self.random.random_range(0.9995..1.0005);
+        let seed = self.random.random();
+        let member = Member::new(me, rules, kept, seed, Time(zero));
+        // The clock shows `zero` at this moment of true time.
+        let zero = zero - (self.now as f64 * rate) as i64;
+        self.nodes[n] = Some(Node { member, zero, rate, boot: self.boots, paused_until: 0 });
+        self.act(n, |member, now, out| member.timer(now, out));
+    }
+
+    fn local(node: &Node, now: i64) -> Time {
+        Time(node.zero + (now as f64 * node.rate) as i64)
+    }
+
+    fn at(&mut self, when: i64, due: Due) {
+        self.sequence += 1;
+        self.what.insert(self.sequence, due);
+        self.due.push(Reverse((when, self.sequence)));
+    }
+
+    fn act(&mut self, n: usize, act: impl FnOnce(&mut Member, Time, &mut Vec<Output>)) {
+        let Some(node) = self.nodes[n].as_mut() else { return };
+        let (now, mut out) = (Self::local(node, self.now), Vec::new());
+        act(&mut node.member, now, &mut out);
+        for output in out {
+            self.carry_out(n, output);
+        }
+        if let Some(node) = self.nodes[n].as_ref() {
+            let (local, rate, boot) = (Self::local(node, self.now), node.rate, node.boot);
+            let wait = ((node.member.next_timer().0 - local.0) as f64 / rate).ceil().max(0.0) as i64;
+            self.at(self.now + wait + 20, Due::Timer(n, boot));
+        }
+    }
+
+    fn carry_out(&mut self, n: usize, output: Output) {
+        match output {
+            Output::Send(to, message) => self.send(n, &to, message),
+            Output::Keep(me, kept) => _ = self.disks.insert(self.names[n].clone(), (me, kept)),
+            Output::Agreed(Event::View(view)) => {
+                let first = self.views.entry(view.epoch).or_insert_with(|| view.clone());
+                assert_eq!(*first, view, "two views with one number");
+                self.adopted.entry(view.epoch).or_insert(self.now);
+                self.known.entry((view.epoch, n)).or_insert(self.now);
+            }
+            Output::Agreed(Event::Forked(view)) => panic!("forked: {view:?}"),
+            Output::Parted => {
+                self.left.insert(n);
+                self.nodes[n] = None;
+            }
+            Output::Agreed(_)
+            | Output::Advised(..)
+            | Output::Life(_)
+            | Output::Twin(_)
+            | Output::Stood(_) => {}
+        }
+    }
+
+    fn send(&mut self, n: usize, to: &Identity, message: Message) {
+        self.messages += 1;
+        self.bytes += AROUND + postcard::to_allocvec(&message).map_or(0, |bytes| bytes.len() as u64);
+        let Some(other) = self.names.iter().position(|name| *name == to.name) else { return };
+        let lossy =
+            [n, other].iter().filter_map(|end| self.loss_at.get(end)).fold(self.loss, |a, b| a.max(*b));
+        if self.cut.contains(&(n, other)) || (lossy > 0.0 && self.random.random_bool(lossy)) {
+            return;
+        }
+        let Some(from) = self.nodes[n].as_ref().map(|node| node.member.me().clone()) else { return };
+        let way = self.random.random_range(self.delay.0..=self.delay.1);
+        self.at(self.now + way, Due::Deliver(other, from, message));
+    }
+
+    /// Plays on until that moment; the rules are looked at with every event.
+    pub fn until(&mut self, end: i64) {
+        while let Some(Reverse((when, number))) =
+            self.due.peek().copied().filter(|Reverse((when, _))| *when <= end)
+        {
+            self.due.pop();
+            self.now = when;
+            let Some(due) = self.what.remove(&number) else { continue };
+            self.happens(due);
+        }
+        self.now = end;
+        self.nobody_acts_for_one_that_acts();
+    }
+
+    fn happens(&mut self, due: Due) {
+        let paused = |fleet: &Self, n: usize| {
+            fleet.nodes[n].as_ref().map(|node| node.paused_until).filter(|until| *until > fleet.now)
+        };
+        match due {
+            Due::Deliver(n, from, message) => match paused(self, n) {
+                Some(until) => self.at(until + 1, Due::Deliver(n, from, message)),
+                None => self.act(n, |member, now, out| member.heard(now, &from, message, out)),
+            },
+            Due::Timer(n, boot) => {
+                if self.nodes[n].as_ref().is_none_or(|node| node.boot != boot) {
+                    return;
+                }
+                match paused(self, n) {
+                    Some(until) => self.at(until, Due::Timer(n, boot)),
+                    None => {
+                        let due = self.nodes[n]
+                            .as_ref()
+                            .is_some_and(|node| node.member.next_timer() <= Self::local(node, self.now));
+                        if due {
+                            self.act(n, |member, now, out| member.timer(now, out));
+                        }
+                    }
+                }
+            }
+            Due::Trouble(trouble) => self.trouble(trouble),
+        }
+        if self.sequence.is_multiple_of(64) {
+            self.nobody_acts_for_one_that_acts();
+        }
+    }
+
+    fn trouble(&mut self, trouble: Trouble) {
+        match trouble {
+            Trouble::Kill(n) => self.nodes[n] = None,
+            Trouble::Start(n) => self.start(n),
+            Trouble::Pause(n, span) => {
+                let until = self.now + span;
+                if let Some(node) = self.nodes[n].as_mut() {
+                    node.paused_until = until;
+                }
+            }
+            Trouble::Cut(a, b) => _ = self.cut.insert((a, b)),
+            Trouble::Split(side) => {
+                for a in 0..self.names.len() {
+                    for b in (0..self.names.len()).filter(|b| side.contains(&a) != side.contains(b)) {
+                        self.cut.insert((a, b));
+                    }
+                }
+            }
+            Trouble::Heal => {
+                self.cut.clear();
+                self.loss_at.clear();
+                (self.loss, self.delay) = (0.0, (200, 2 * MS));
+            }
+            Trouble::Loss(part) => self.loss = part,
+            Trouble::LossAt(n, part) => _ = self.loss_at.insert(n, part),
+            Trouble::Delay(least, most) => self.delay = (least, most),
+            Trouble::Leave(n) => self.act(n, |member, now, out| member.leave(now, out)),
+        }
+    }
+
+    /// Plays troubles at their times from now on, and on until the end, counted from now.
+    pub fn play(&mut self, script: Vec<(i64, Trouble)>, end: i64) {
+        let begin = self.now;
+        script.into_iter().for_each(|(at, trouble)| self.at(begin + at, Due::Trouble(trouble)));
+        self.until(begin + end);
+    }
+
+    /// Also of those that stand still: they act the moment they go on, by what their clock says then.
+    fn nobody_acts_for_one_that_acts(&self) {
+        let nodes = || self.nodes.iter().flatten();
+        for acts in nodes().filter(|n| !n.member.agreement().fenced(Self::local(n, self.now))) {
+            let me = acts.member.me();
+            for other in nodes() {
+                let free = other.member.agreement().free(me, Self::local(other, self.now));
+                assert!(!free, "{me} acts, and {} may act for it at {}", other.member.me(), self.now);
+            }
+        }
+    }
+
+    /// The one view in which all that live are, with their leases; none if it is not so.
+    pub fn settled(&self) -> Option<&View> {
+        let living: BTreeSet<Identity> = self.nodes.iter().flatten().map(|n| n.member.me().clone()).collect();
+        let first = self.nodes.iter().flatten().next()?.member.agreement().view();
+        let same = |n: &Node| {
+            let agreement = n.member.agreement();
+            agreement.view() == first && !agreement.fenced(Self::local(n, self.now))
+        };
+        let members: BTreeSet<Identity> = first.members.iter().cloned().collect();
+        (members == living && self.nodes.iter().flatten().all(same)).then_some(first)
+    }
+
+    /// Plays until all that run are in one view, and how long that took.
+    ///
+    /// # Panics
+    /// When it takes longer.
+    pub fn settles_within(&mut self, span: i64) -> i64 {
+        let begin = self.now;
+        while self.settled().is_none() {
+            assert!(self.now - begin < span, "not settled after {} s: {}", span / SECOND, self.told());
+            let next = self.now + 50 * MS;
+            self.until(next);
+        }
+        self.now - begin
+    }
+
+    /// Members that do not act, of those that run.
+    pub fn fenced(&self) -> usize {
+        let fenced = |n: &&Node| n.member.agreement().fenced(Self::local(n, self.now));
+        self.nodes.iter().flatten().filter(fenced).count()
+    }
+
+    /// The fleet as it stands once all are in, and have been for a while.
+    pub fn founded(members: usize, keeps: bool, seed: u64) -> Self {
+        let mut fleet = Self::new(members, members.min(5), keeps, seed);
+        fleet.settles_within(60 * SECOND);
+        fleet.until(fleet.now + 2 * SECOND);
+        fleet
+    }
+
+    fn told(&self) -> String {
+        let one = |n: &Node| {
+            let a = n.member.agreement();
+            let members: Vec<String> = a.view().members.iter().map(ToString::to_string).collect();
+            format!(
+                "{} at {} of {members:?}, fenced {}, undecided {}",
+                n.member.me(),
+                a.view().epoch,
+                a.fenced(Self::local(n, self.now)),
+                a.undecided()
+            )
+        };
+        self.nodes.iter().flatten().map(one).collect::<Vec<_>>().join("; ")
+    }
+
+    /// The latest view's number.
+    pub fn epoch(&self) -> u64 {
+        self.views.keys().next_back().copied().unwrap_or(0)
+    }
+}
