Measure the membership's traffic by size, and make it cost a member the same in any fleet

Need: at 300 members a calm one may send 2 KiB a second; nobody had measured it. Causes, each measured by taking it away: leases of 2 s asked for each 600 ms (23 of 31 messages a second); the whole state exchanged each 10 s however large it is; each joiner told on by everybody 25 times, though the view tells it already.

Leases of 3 s asked for each second, the state exchanged the more seldom the larger the fleet, joiners are no news.

`wheelpier-lab scale` prints the table, draws the chart and ends with 1 where a goal is missed.

--- a/crates/decisions/src/membership/advice.rs
+++ b/crates/decisions/src/membership/advice.rs
@@ -23,7 +23,7 @@
     pub suspicion: i64,
     /// A timer that is late by more than this means that the process stood still.
     pub stood: i64,
-    /// The whole state is exchanged with somebody so often.
+    /// The whole state is exchanged with somebody so often, in a small fleet.
     pub sync: i64,
 }
 
@@ -46,6 +46,8 @@
 const NEWS: usize = 6;
 /// How often a piece of news is passed on, times the logarithm of the number of members.
 const PASSES: f64 = 3.0;
+/// For each so many members the whole state is exchanged the more seldom.
+const SYNC_MEMBERS: i64 = 32;
 /// Whoever is gone is remembered so long: older news must not bring it back.
 const REMEMBERED_US: i64 = 60_000_000;
 
@@ -296,7 +298,9 @@
             self.probe_next(now, out);
         }
         if now >= self.sync_at {
-            self.sync_at = Time(now.0 + self.tempo.sync);
+            // The state is as long as there are members: what it costs each of them is to stay the same.
+            let size = (self.count() as i64 / SYNC_MEMBERS).max(1);
+            self.sync_at = Time(now.0 + self.tempo.sync * size);
             if let Some(with) = self.pick(1, None).pop() {
                 let state = Message::State { known: self.state(), wanted: true };
                 out.push(Output::Send(with, state));
@@ -470,7 +474,7 @@
                 let at = self.random.random_range(0..=self.turns.len());
                 self.turns.insert(at, news.who.clone());
                 out.push(Output::Changed(news.who.clone(), Opinion::Alive));
-                self.spread(News { opinion: Opinion::Alive, ..news.clone() });
+                // Views tell all members who is there: that is no news.
                 if news.opinion == Opinion::Suspect {
                     self.learn(now, news, out);
                 }
--- a/crates/decisions/src/membership/lease.rs
+++ b/crates/decisions/src/membership/lease.rs
@@ -18,9 +18,10 @@
 }
 
 impl Default for Terms {
-    /// 2 s, asked for anew each 600 ms; clocks that are fast or slow by 1 in 1,000 at the most.
+    /// 3 s, asked for anew each second: what the fleet sends is mostly this. Clocks that are fast or slow by 1 in 1,000
+    /// at the most.
     fn default() -> Self {
-        Self { lease: 2_000_000, drift_ppm: 1_000, renew: 600_000, ballot: 400_000 }
+        Self { lease: 3_000_000, drift_ppm: 1_000, renew: 1_000_000, ballot: 400_000 }
     }
 }
 
--- a/crates/decisions/src/membership/member.rs
+++ b/crates/decisions/src/membership/member.rs
@@ -61,8 +61,9 @@
     pub tempo: Tempo,
 }
 
-/// A member whose word has not come for so many of its askings is not heard.
-const UNHEARD: i64 = 2;
+/// A member whose word has not come for so many quarters of the time between its askings is not heard: a voter, which
+/// speaks twice as often, and any other, of which one asking may get lost.
+const UNHEARD: (i64, i64) = (5, 9);
 /// A voter's row holds for so many looks.
 const ROW: i64 = 4;
 /// A member that most do not hear, or that has no lease, for so many leases goes, whatever the advice is.
@@ -407,8 +408,9 @@
         self.comers.retain(|_, at| now.0 - at.0 < COMER * look);
         self.stuck.retain(|_, at| now.0 - at.0 < ROW * look);
         let heard = |member: &Identity| {
+            let quarters = if view.elects(member) { UNHEARD.0 } else { UNHEARD.1 };
             let at = self.advice.heard_at(member);
-            *member == self.me || at.is_some_and(|at| now.0 - at.0 < UNHEARD * terms.renew)
+            *member == self.me || at.is_some_and(|at| now.0 - at.0 < quarters * terms.renew / 4)
         };
         Row {
             epoch: view.epoch,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod members;
 mod parity;
 pub mod rig;
+mod scale;
 mod starve;
 mod table;
 
@@ -30,6 +31,8 @@
     Parity(parity::Parity),
     /// A crowd of slow clients beside the usual load. Exit status 0 if the sale-writes do not notice.
     Starve(starve::Starve),
+    /// A fleet's membership in virtual time: traffic and times by the number of members. Exit status 0 within the goals.
+    Scale(scale::Scale),
 }
 
 /// Why an experiment could not be made.
@@ -57,6 +60,7 @@
         Command::Demo(demo) => demo.run().map(|()| true),
         Command::Parity(parity) => parity.run(),
         Command::Starve(starve) => starve.run(),
+        Command::Scale(scale) => scale.run(),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
