--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -241,11 +241,10 @@
     }
 
     /// Reads the file once more at SIGHUP, checked as at the start, and takes in what may change while the
-    /// proxy runs: where discovery answers, the classes and their terms, the tenants and their quotas, and the number of
-    /// attempts. Classes
-    /// keep their numbers, so that requests under way keep their class; a class that the file no longer names
-    /// takes no new requests, and one that it names anew comes behind the others. All else holds until a
-    /// restart.
+    /// proxy runs: where discovery answers, the classes and their terms, the tenants and their quotas, and the
+    /// number of attempts. Classes and tenants keep their numbers, so that requests under way keep theirs; a
+    /// class that the file no longer names takes no new requests, a tenant has no quota, and one that it names
+    /// anew comes behind the others. All else holds until a restart.
     ///
     /// # Errors
     /// When the file as a whole would not do for a start: empty, cut short, lacking a key, or with a
@@ -278,30 +277,14 @@
 
     /// This configuration with what new settings may change.
     fn merged(&self, new: Self) -> Self {
-        let mut classes = self.settings.classes.clone();
-        let mut names = self.names.classes.clone();
-        names.iter_mut().for_each(|name| name.open = false);
-        for (class, name) in new.settings.classes.into_iter().zip(new.names.classes) {
-            match names.iter().position(|old| old.name == name.name) {
-                Some(at) => (classes[at], names[at]) = (class, name),
-                None => {
-                    classes.push(class);
-                    names.push(name);
-                }
-            }
-        }
-        let mut quotas: Vec<f64> = vec![0.0; self.names.tenants.len()];
-        let mut tenants = self.names.tenants.clone();
-        tenants.iter_mut().for_each(|tenant| tenant.open = false);
-        for (quota, tenant) in new.settings.quotas.into_iter().zip(new.names.tenants) {
-            match tenants.iter().position(|old| old.name == tenant.name) {
-                Some(at) => (quotas[at], tenants[at]) = (quota, tenant),
-                None => {
-                    quotas.push(quota);
-                    tenants.push(tenant);
-                }
-            }
-        }
+        let closed = self.names.classes.iter().map(|name| ClassName { open: false, ..name.clone() });
+        let old = closed.zip(self.settings.classes.iter().cloned());
+        let new_ones = new.names.classes.into_iter().zip(new.settings.classes);
+        let (names, classes) = renumbered(old, new_ones, |name| &name.name);
+        // A tenant that is left out has no quota.
+        let closed = self.names.tenants.iter().map(|name| TenantName { open: false, ..name.clone() });
+        let new_ones = new.names.tenants.into_iter().zip(new.settings.quotas);
+        let (tenants, quotas) = renumbered(closed.map(|name| (name, 0.0)), new_ones, |name| &name.name);
         let mut merged = self.clone();
         merged.settings = crate::interface::Settings { classes, quotas, ..new.settings };
         (merged.names.classes, merged.names.tenants) = (names, tenants);
@@ -412,6 +395,23 @@
     ClassName { name: named.name, write: class.freshness == Freshness::Write, keyed, open: true }
 }
 
+/// What is numbered, with its names, once new settings are taken in: what they name keeps its number and has its new
+/// terms, what they name for the first time comes behind.
+fn renumbered<N, V>(
+    old: impl Iterator<Item = (N, V)>,
+    new: impl Iterator<Item = (N, V)>,
+    name: fn(&N) -> &str,
+) -> (Vec<N>, Vec<V>) {
+    let mut all: Vec<(N, V)> = old.collect();
+    for one in new {
+        match all.iter().position(|(old, _)| name(old) == name(&one.0)) {
+            Some(at) => all[at] = one,
+            None => all.push(one),
+        }
+    }
+    all.into_iter().unzip()
+}
+
 /// The key that a message of serde names in backquotes, if any.
 fn faulty(message: &str) -> String {
     message.split('`').nth(1).filter(|key| !key.contains(' ')).unwrap_or("GW_CONFIG").to_owned()
