--- a/crates/decisions/src/load/rest.rs
+++ b/crates/decisions/src/load/rest.rs
@@ -12,6 +12,8 @@
 
 /// A rest is doubled this often at the most.
 const DOUBLINGS: u32 = 6;
+/// So many failures without an answer between them are a host's state; fewer may be a fault of single connections.
+const STATE: u32 = 3;
 
 impl Rest {
     /// Whether it has failed since its last answer.
@@ -19,6 +21,11 @@
         self.failures > 0
     }
 
+    /// Whether it has failed time and again since its last answer.
+    pub fn refuses(&self) -> bool {
+        self.failures >= STATE
+    }
+
     /// Whether it is to be left alone.
     pub fn rests(&self, now: Time) -> bool {
         self.failing() && now < self.until
@@ -66,6 +73,16 @@
         }
     }
 
+    #[test]
+    fn a_host_refuses_from_its_third_failure_in_a_row_on() {
+        assert!(!failed(2).refuses() && failed(3).refuses());
+        let mut rest = failed(3);
+        rest.answered();
+        assert!(!rest.refuses());
+        rest.failed(Time(0), FIRST, LONGEST);
+        assert!(!rest.refuses(), "an answer came between");
+    }
+
     #[test]
     fn an_answer_ends_it_and_the_next_failure_counts_from_the_first() {
         let mut rest = failed(1);
