--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -887,8 +887,8 @@
         }
     }
 
-    /// A host that takes no connection, time and again, is full of idle ones, ours too: they are let go, and for
-    /// a while each after its answer. Costs handshakes where it has really died: not if these cost worth.
+    /// A host that takes no connection, time and again, is full of idle ones, ours too: they are let go, and
+    /// for a while each after its answer. Costs handshakes where it has really died: not if these cost worth.
     fn make_room(&mut self, r: &Reply, actions: &mut Vec<Action>) {
         let squeezed = self.squeezed.is_some_and(|at| self.now.0 - at.0 < REST_US.1);
         let serves = self.hosts.get(&r.host).is_some_and(|h| h.alive.is_some() && h.rest.refuses());
