--- a/crates/decisions/src/membership/agreement.rs
+++ b/crates/decisions/src/membership/agreement.rs
@@ -224,6 +224,11 @@
         self.lease.map_or(0, |until| until.0 - now.0)
     }
 
+    /// Until when the last lease is, or was, believed in by this process's own clock.
+    pub fn lease_until(&self) -> Option<Time> {
+        self.lease
+    }
+
     /// Whether that life is out by agreement and knows it: somebody else may act in its place. Only of a life that
     /// this process has seen as a member: one that it has never seen may have been let in meanwhile.
     pub fn free(&self, who: &Identity, now: Time) -> bool {
--- a/crates/decisions/src/membership/member.rs
+++ b/crates/decisions/src/membership/member.rs
@@ -68,6 +68,8 @@
 const ROW: i64 = 4;
 /// A member that most do not hear, or that has no lease, for so many leases goes, whatever the advice is.
 const DULL: i64 = 2;
+/// A voter that too few others spoke with for longer than one renewal hears them for so many before it judges anybody.
+const SETTLING: i64 = 2;
 /// A process of the same name is told of after so many leases: until then it may be the last life's echo.
 const TWIN: i64 = 4;
 /// Who asks to be let in has to ask again within so many looks.
@@ -98,6 +100,12 @@
     refused_since: Option<Time>,
     told_twin: bool,
     leaving: bool,
+    /// Since when too few voters speak for a view to follow.
+    alone_since: Option<Time>,
+    /// Whether that was for long: what was thought of the others meanwhile says nothing once they speak again.
+    apart: bool,
+    /// From when on what is heard counts again.
+    settled_at: Time,
 }
 
 impl Member {
@@ -123,6 +131,9 @@
             refused_since: None,
             told_twin: false,
             leaving: false,
+            alone_since: None,
+            apart: false,
+            settled_at: now,
         }
     }
 
@@ -146,6 +157,11 @@
         self.rows.iter().map(|(voter, (row, _))| (voter, row))
     }
 
+    /// Whether it takes its leave.
+    pub fn leaving(&self) -> bool {
+        self.leaving
+    }
+
     /// When [`Self::timer`] has to be called at the latest.
     pub fn next_timer(&self) -> Time {
         let next = self.advice.next_timer().min(self.look_at);
@@ -182,19 +198,29 @@
             }
             Message::Row(row) => {
                 if self.agreement.view().elects(from) {
+                    row.leavers.iter().for_each(|who| self.leaves(who, out));
                     self.rows.insert(from.clone(), (row, now));
                 }
             }
             Message::Hello => self.hello(now, from, out),
             Message::Refused(there) => self.refused(now, there, out),
             Message::Stuck => _ = self.stuck.insert(from.clone(), now),
-            Message::Leaving => _ = self.leavers.insert(from.clone()),
+            Message::Leaving => self.leaves(from, out),
+        }
+    }
+
+    /// A member takes its leave, as it says itself or a voter says of it.
+    fn leaves(&mut self, who: &Identity, out: &mut Vec<Output>) {
+        if self.agreement.view().contains(who) && self.leavers.insert(who.clone()) {
+            out.push(Output::Advised(who.clone(), Opinion::Left));
         }
     }
 
     /// The process takes its leave; [`Output::Parted`] tells when it is out by agreement.
     pub fn leave(&mut self, now: Time, out: &mut Vec<Output>) {
         self.leaving = true;
+        let me = self.me.clone();
+        self.leaves(&me, out);
         self.advise(now, out, |advice, _, more| advice.leave(more));
         self.look_at = now;
     }
@@ -382,7 +408,7 @@
         }
         if self.leaving {
             tell(Message::Leaving, out);
-            self.leavers.insert(self.me.clone());
+            self.leaves(&me, out);
         }
         if view.elects(&self.me) {
             let row = self.own_row(now, &view);
@@ -431,6 +457,25 @@
             .collect()
     }
 
+    /// Whether most voters speak, and have done so for long enough after a time in which they did not: those who come
+    /// back do so one after the other, and whoever is heard last would seem to be gone.
+    fn settled(&mut self, now: Time, most_speak: bool) -> bool {
+        let renew = self.rules.terms.renew;
+        if !most_speak {
+            let since = *self.alone_since.get_or_insert(now);
+            self.apart |= now.0 - since.0 > renew;
+            return false;
+        }
+        self.alone_since = None;
+        if std::mem::take(&mut self.apart) {
+            self.settled_at = Time(now.0 + SETTLING * renew);
+        }
+        if now < self.settled_at {
+            self.unheard.clear();
+        }
+        now >= self.settled_at
+    }
+
     /// Opens a ballot where it is this voter's turn and something ought to change.
     fn steer(&mut self, now: Time, view: &View, out: &mut Vec<Output>) {
         let rows = self.fresh_rows(now);
@@ -439,7 +484,7 @@
         let place = view.electors().iter().position(|voter| *voter == self.me).unwrap_or(0) as i64;
         // Whoever has accepted something grants no lease: it does not wait for the steward for long.
         let stalled = waits.is_some_and(|since| now.0 - since.0 > self.rules.terms.ballot * (2 + place));
-        if self.agreement.proposing() || !steward::most_speak(view, &rows) {
+        if !self.settled(now, steward::most_speak(view, &rows)) || self.agreement.proposing() {
             return;
         }
         let heard = steward::heard_by_most(view, &rows);
--- a/crates/decisions/src/membership/mod.rs
+++ b/crates/decisions/src/membership/mod.rs
@@ -7,8 +7,10 @@
 pub mod advice;
 pub mod agreement;
 mod asking;
+pub mod chronicle;
 mod lease;
 pub mod member;
+pub mod post;
 pub mod steward;
 mod view;
 
