Let proxies of a fleet speak with each other: sockets, operator's file, console, status

An actor of its own with one UDP and TCP port, off without peers: in the operator's file and refused where the settings say mayTell: false, both shown on sockets.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -2,7 +2,7 @@
 
 mod operator;
 
-pub use operator::{HostProtocols, Operator, OperatorError};
+pub use operator::{HostProtocols, Operator, OperatorError, Peers};
 
 use crate::budget::plan::{ClassWorth, Figures, Plan};
 use crate::interface::{Class, Freshness, HostState, Repeat, Settings};
@@ -121,6 +121,8 @@
     pub connect_timeout: Duration,
     /// An idle pooled connection is retired after this time, well before its host closes it.
     pub retire_after: Duration,
+    /// Whether the platform lets proxies speak with each other.
+    pub may_tell: bool,
     /// Requests held at most.
     pub most_held: usize,
     /// Attempts of a request at most.
@@ -176,11 +178,13 @@
     keepalive: f64,
     most_held: usize,
     max_attempts: u32,
+    /// Whether proxies may speak with each other; where nothing is said, nothing is forbidden.
+    may_tell: bool,
 }
 
 impl Default for SettingsLimits {
     fn default() -> Self {
-        Self { connect_timeout: 0.25, keepalive: 15.0, most_held: 30_000, max_attempts: 8 }
+        Self { connect_timeout: 0.25, keepalive: 15.0, most_held: 30_000, max_attempts: 8, may_tell: true }
     }
 }
 
@@ -226,6 +230,12 @@
             let held = (memory * STATEMENTS / longest as f64) as usize;
             self.limits.clients = self.limits.clients.min(held).max(LEAST_CONNECTIONS);
         }
+        if operator.peers.is_some() && !self.may_tell {
+            let problem =
+                "the platform forbids proxies to speak with each other (settings.limits.mayTell is false); \
+                           take `peers` out of the operator's file";
+            return Err(wrong("peers", problem));
+        }
         let mut figures = self.figures.clone();
         figures.total = operator.memory.total.unwrap_or(figures.total);
         figures.overrides = operator.memory.purposes.clone();
@@ -380,6 +390,7 @@
             connect_timeout: seconds("settings.limits.connectTimeout", more.limits.connect_timeout)?,
             // Two thirds: a request written as the host closes would end as a reset.
             retire_after: keepalive * 2 / 3,
+            may_tell: more.limits.may_tell,
             most_held: more.limits.most_held,
             max_attempts: more.limits.max_attempts,
         })
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -3,6 +3,8 @@
 
 use crate::budget::plan::Override;
 use crate::budget::{Purpose, PURPOSES};
+use crate::membership::post::Key;
+use crate::membership::Name;
 use crate::protocol::Protocol;
 use bytesize::ByteSize;
 use serde::Deserialize;
@@ -20,6 +22,25 @@
     pub hosts: HostProtocols,
     /// How memory is divided.
     pub memory: MemoryTerms,
+    /// The fleet that this proxy is of; none: it speaks with no other proxy.
+    pub peers: Option<Peers>,
+}
+
+/// The fleet that a proxy is of (`docs/operate/fleet.md`).
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peers {
+    /// What the fleet is called; whoever calls it otherwise is of another one.
+    pub fleet: String,
+    /// Where this proxy hears the others, datagrams and streams.
+    pub listen: SocketAddr,
+    /// Those who found the fleet, all of them together, and where they are; the same in each member's file.
+    pub founders: BTreeMap<Name, SocketAddr>,
+    /// Others whose place is known beforehand; the rest is found by asking.
+    pub members: BTreeMap<Name, SocketAddr>,
+    /// What messages are sealed with.
+    pub key: Key,
+    /// What opens them as well, while keys are changed.
+    pub second_key: Option<Key>,
 }
 
 /// What the operator sets of memory; the rest is divided as ever.
@@ -79,6 +100,18 @@
     listeners: Vec<RawListener>,
     hosts: RawHosts,
     memory: RawMemory,
+    peers: Option<Spanned<RawPeers>>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawPeers {
+    fleet: Spanned<String>,
+    listen: Spanned<String>,
+    founders: Spanned<BTreeMap<String, Spanned<String>>>,
+    #[serde(default)]
+    members: BTreeMap<String, Spanned<String>>,
+    key_files: Spanned<Vec<Spanned<String>>>,
 }
 
 #[derive(Deserialize, Default)]
@@ -130,6 +163,13 @@
         })
     }
 
+    fn address(&self, text: &Spanned<String>, key: &str) -> Result<SocketAddr, OperatorError> {
+        text.value.parse().map_err(|_| {
+            let problem = format!("`{}` is no address with a port, like 127.0.0.1:1433", text.value);
+            self.at(text.referenced, key, problem)
+        })
+    }
+
     fn protocol(&self, name: &Spanned<String>, key: &str) -> Result<Protocol, OperatorError> {
         let found = PROTOCOLS.into_iter().find(|protocol| protocol.to_string() == name.value);
         found.ok_or_else(|| {
@@ -180,18 +220,78 @@
                 );
                 return Err(fault.at(raw.protocol.referenced, &key("protocol"), problem));
             }
-            let address: SocketAddr = raw.address.value.parse().map_err(|_| {
-                let problem =
-                    format!("`{}` is no address with a port, like 127.0.0.1:1433", raw.address.value);
-                fault.at(raw.address.referenced, &key("address"), problem)
-            })?;
+            let address = fault.address(&raw.address, &key("address"))?;
             if address.port() != 0 && !taken.insert(address) {
                 let problem = format!("{address} stands twice; each listener has an address of its own");
                 return Err(fault.at(raw.address.referenced, &key("address"), problem));
             }
             listeners.push(Listener { protocol, address });
         }
-        Ok(Self { listeners, hosts, memory: memory(&raw.memory, &fault)? })
+        let peers = raw.peers.as_ref().map(|raw| peers(raw, &fault)).transpose()?;
+        Ok(Self { listeners, hosts, memory: memory(&raw.memory, &fault)?, peers })
+    }
+}
+
+/// A name is in each message: longer ones cost the fleet more than they tell.
+const LONGEST_NAME: usize = 64;
+/// So many found a fleet at the most: all of them have to be there for that.
+const MOST_FOUNDERS: usize = 32;
+
+fn peers(raw: &Spanned<RawPeers>, fault: &Fault<'_>) -> Result<Peers, OperatorError> {
+    let RawPeers { fleet, listen, founders, members, key_files } = &raw.value;
+    if fleet.value.is_empty() || fleet.value.len() > LONGEST_NAME {
+        let problem = format!("a fleet's name has 1 to {LONGEST_NAME} bytes");
+        return Err(fault.at(fleet.referenced, "peers.fleet", problem));
+    }
+    let named = named(&founders.value, "peers.founders", fault)?;
+    if named.is_empty() || named.len() > MOST_FOUNDERS {
+        let problem = format!(
+            "1 to {MOST_FOUNDERS} proxies found a fleet, all of them together; give NAME: ADDRESS of each"
+        );
+        return Err(fault.at(founders.referenced, "peers.founders", problem));
+    }
+    let (key, second_key) = keys(key_files, fault)?;
+    Ok(Peers {
+        fleet: fleet.value.clone(),
+        listen: fault.address(listen, "peers.listen")?,
+        founders: named,
+        members: self::named(members, "peers.members", fault)?,
+        key,
+        second_key,
+    })
+}
+
+fn named(
+    raw: &BTreeMap<String, Spanned<String>>,
+    key: &str,
+    fault: &Fault<'_>,
+) -> Result<BTreeMap<Name, SocketAddr>, OperatorError> {
+    let one = |(name, address): (&String, &Spanned<String>)| {
+        let key = format!("{key}.{name}");
+        if name.is_empty() || name.len() > LONGEST_NAME {
+            return Err(fault.at(address.referenced, &key, format!("a name has 1 to {LONGEST_NAME} bytes")));
+        }
+        Ok((name.as_str().into(), fault.address(address, &key)?))
+    };
+    raw.iter().map(one).collect()
+}
+
+fn keys(
+    files: &Spanned<Vec<Spanned<String>>>,
+    fault: &Fault<'_>,
+) -> Result<(Key, Option<Key>), OperatorError> {
+    let read = |file: &Spanned<String>| {
+        let text = std::fs::read_to_string(&file.value).map_err(|e| e.to_string());
+        let key = text.and_then(|text| Key::read(&text).map_err(|e| e.to_string()));
+        key.map_err(|e| fault.at(file.referenced, "peers.key_files", format!("{}: {e}", file.value)))
+    };
+    match &files.value[..] {
+        [first] => Ok((read(first)?, None)),
+        [first, second] => Ok((read(first)?, Some(read(second)?))),
+        _ => {
+            let problem = "one file, or two while keys are changed: the first seals, both open".to_owned();
+            Err(fault.at(files.referenced, "peers.key_files", problem))
+        }
     }
 }
 
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -2,9 +2,10 @@
 
 use crate::interface::Outcome;
 use crate::reasons::{Reason, REASONS};
+use crate::tally::Tally;
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex, OnceLock};
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,6 +43,8 @@
     ejected: AtomicU64,
     /// Configuration files taken, and turned down, at SIGHUP.
     sighup: [AtomicU64; 2],
+    /// Of the fleet, where this proxy is of one.
+    fleet: OnceLock<Arc<Tally>>,
 }
 
 /// The operators' names of the ends that are counted by class, in the order of [`Ended`].
@@ -120,6 +123,11 @@
         add(&self.sighup[usize::from(!applied)]);
     }
 
+    /// This proxy is of a fleet, of which that is counted.
+    pub fn fleet(&self, tally: Arc<Tally>) {
+        let _ = self.fleet.set(tally);
+    }
+
     /// The figures in the operators' form, `gw.NAME=VALUE` a line (see `docs/operate/console.md`).
     pub fn figures(&self) -> String {
         use fmt::Write;
@@ -144,6 +152,9 @@
         for (reason, counter) in REASONS.iter().zip(&self.turned) {
             let _ = writeln!(out, "gw.turned.{reason}={}", get(counter));
         }
+        if let Some(fleet) = self.fleet.get() {
+            fleet.figures(&mut out);
+        }
         out
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,5 +33,6 @@
 pub use wheelpier_pgwire as pgwire;
 pub mod protocol;
 pub mod reasons;
+pub mod tally;
 
 pub use wheelpier_decisions::*;
--- a/src/net/console.rs
+++ b/src/net/console.rs
@@ -4,6 +4,7 @@
 //! them at once, and nothing that it does waits for the module or a ledger host. What a call means is decided
 //! by [`call`], without I/O; the figures are the counters' and the drain's state is the door's.
 
+use super::peers::Questions;
 use crate::counters::Counters;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -15,7 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{watch, Semaphore};
+use tokio::sync::{oneshot, watch, Semaphore};
 use tokio::time::{timeout, Instant};
 
 /// A caller has brought its whole head within this time, or is closed on: every answer is due within 1 s.
@@ -32,6 +33,8 @@
     Health,
     /// `GET /admin/stats`: the figures, `gw.NAME=VALUE` a line.
     Stats,
+    /// `GET /admin/fleet`: the fleet as this proxy knows it, in JSON; 404 where it is of none.
+    Fleet,
     /// `POST /admin/quiesce`: drain, without ending.
     Quiesce,
     /// `POST /admin/resume`: back to work.
@@ -47,6 +50,7 @@
     let (wanted, call) = match path {
         "/admin/health" => (Method::GET, Call::Health),
         "/admin/stats" => (Method::GET, Call::Stats),
+        "/admin/fleet" => (Method::GET, Call::Fleet),
         "/admin/quiesce" => (Method::POST, Call::Quiesce),
         "/admin/resume" => (Method::POST, Call::Resume),
         _ => return Call::Unknown,
@@ -70,6 +74,8 @@
     pub quiesced: Arc<watch::Sender<Option<Instant>>>,
     /// Since when SIGTERM drains it.
     pub draining: watch::Receiver<Option<Instant>>,
+    /// Where the fleet is asked for, if there is one.
+    pub fleet: Option<Questions>,
 }
 
 impl Desk {
@@ -99,12 +105,32 @@
                 tracing::info!("resumed by the console");
                 (StatusCode::OK, "resumed\n".to_owned())
             }
+            Call::Fleet => (StatusCode::NOT_FOUND, "this proxy is of no fleet\n".to_owned()),
             Call::WrongMethod => (StatusCode::METHOD_NOT_ALLOWED, "wrong method\n".to_owned()),
             Call::Unknown => (StatusCode::NOT_FOUND, "no such call\n".to_owned()),
         }
     }
 }
 
+impl Desk {
+    async fn hear(&self, call: Call) -> (StatusCode, String) {
+        match &self.fleet {
+            Some(fleet) if call == Call::Fleet => {
+                let (question, answer) = oneshot::channel();
+                let told = match fleet.try_send(question) {
+                    Ok(()) => answer.await.ok(),
+                    Err(_) => None,
+                };
+                match told.and_then(|fleet| serde_json::to_string(&fleet).ok()) {
+                    Some(json) => (StatusCode::OK, json + "\n"),
+                    None => (StatusCode::SERVICE_UNAVAILABLE, "left, or too many ask at once\n".to_owned()),
+                }
+            }
+            _ => self.answer(call),
+        }
+    }
+}
+
 /// Listens where the configuration says.
 ///
 /// # Errors
@@ -114,6 +140,13 @@
     listener.map_err(|e| io::Error::new(e.kind(), format!("console {address}: {e}")))
 }
 
+fn kind(call: Call, status: StatusCode) -> &'static str {
+    match call {
+        Call::Fleet if status == StatusCode::OK => "application/json",
+        _ => "text/plain; charset=utf-8",
+    }
+}
+
 /// Answers callers until the task is ended.
 pub(crate) async fn serve(listener: TcpListener, desk: Desk) {
     let seats = Arc::new(Semaphore::new(CALLERS));
@@ -128,14 +161,19 @@
         tokio::spawn(async move {
             let _seat = seat;
             let service = hyper::service::service_fn(move |request: hyper::Request<Incoming>| {
-                let (status, body) = desk.answer(call(request.method(), request.uri().path()));
-                let body = if request.method() == Method::HEAD { String::new() } else { body };
-                let answer = Response::builder()
-                    .status(status)
-                    .header("content-type", "text/plain; charset=utf-8")
-                    .header("connection", "close")
-                    .body(Full::new(Bytes::from(body)));
-                async move { Ok::<_, Infallible>(answer.unwrap_or_default()) }
+                let (call, head) =
+                    (call(request.method(), request.uri().path()), request.method() == Method::HEAD);
+                let desk = desk.clone();
+                async move {
+                    let (status, body) = desk.hear(call).await;
+                    let body = if head { String::new() } else { body };
+                    let answer = Response::builder()
+                        .status(status)
+                        .header("content-type", kind(call, status))
+                        .header("connection", "close")
+                        .body(Full::new(Bytes::from(body)));
+                    Ok::<_, Infallible>(answer.unwrap_or_default())
+                }
             });
             let connection = hyper::server::conn::http1::Builder::new()
                 .keep_alive(false)
@@ -171,6 +209,7 @@
             ready: watch::channel(ready).1,
             quiesced: Arc::new(watch::channel(None).0),
             draining: watch::channel(None).1,
+            fleet: None,
         }
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod frontend;
 pub(crate) mod memory;
 pub mod messages;
+pub(crate) mod peers;
 pub(crate) mod turned;
 pub(crate) mod upstream;
 
@@ -19,6 +20,7 @@
 use crate::counters::Counters;
 use crate::membership::Asking;
 use crate::protocol::Protocol;
+use crate::tally::Tally;
 use frontend::Listeners;
 use memory::Memory;
 use std::io;
@@ -31,6 +33,9 @@
 /// Events that may wait for the module's actor.
 const CORE_MAILBOX: usize = 1024;
 
+/// The fleet has so long to agree that this proxy has left, once its clients are served.
+const LEAVE: Duration = Duration::from_secs(2);
+
 /// What a running proxy is asked to do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Control {
@@ -48,6 +53,7 @@
     config: Config,
     listeners: Listeners,
     console: Option<tokio::net::TcpListener>,
+    station: Option<peers::Station>,
     counters: Arc<Counters>,
     budget: Budget,
 }
@@ -63,10 +69,14 @@
             Some(address) => Some(console::bind(address).await?),
             None => None,
         };
+        let station = match &config.operator.peers {
+            Some(peers) => Some(peers::Station::bind(peers.listen).await?),
+            None => None,
+        };
         let budget = config.plan.budget().map_err(io::Error::other)?;
         let counters = Arc::new(Counters::default());
         counters.classes(config.names.classes.iter().map(|class| class.name.as_str()));
-        Ok(Self { config, listeners, console, counters, budget })
+        Ok(Self { config, listeners, console, station, counters, budget })
     }
 
     /// Where the operators' console listens, if anywhere.
@@ -100,23 +110,25 @@
     /// # Errors
     /// When the settings cannot work, or an actor has failed.
     pub async fn serve(self, mut control: mpsc::Receiver<Control>) -> io::Result<()> {
-        let Self { mut config, listeners, console, counters, budget } = self;
+        let Self { mut config, listeners, console, station, counters, budget } = self;
         let (events, mailbox) = mpsc::channel(CORE_MAILBOX);
         let (ready, is_ready) = watch::channel(false);
         let (drain, draining) = watch::channel(None);
         let (quiesce, _) = watch::channel(None);
         let (names, named) = watch::channel(Arc::new(config.names.clone()));
+        let clock = clock::Clock::start();
+        let fleet = fleet(&config, station, clock, &counters, &draining)?;
         let desk = console::Desk {
             counters: Arc::clone(&counters),
             ready: is_ready.clone(),
             quiesced: Arc::new(quiesce),
             draining: draining.clone(),
+            fleet: fleet.as_ref().map(|(questions, _)| questions.clone()),
         };
         let console = console.map(|listener| tokio::spawn(console::serve(listener, desk.clone())));
         let (moved, discovery) = watch::channel(config.discovery);
         let since = config.known.as_ref().map(|list| list.index);
         let zones = config.names.zones.clone();
-        let clock = clock::Clock::start();
         let memory = Memory::new(budget, config.plan.clone(), clock);
         let turned = Turned::new(Arc::clone(&counters), clock);
         let (reclaims, reclaimed) = watch::channel(Vec::new());
@@ -182,6 +194,9 @@
                 ended = &mut core => break ended.map_err(io::Error::other),
             }
         };
+        if let Some((_, member)) = fleet {
+            let _ = tokio::time::timeout(LEAVE, member).await;
+        }
         tracing::info!("counters: {counters}");
         follower.abort();
         watcher.abort();
@@ -193,6 +208,21 @@
     }
 }
 
+/// This proxy's part in the fleet, where the operator's file names one.
+fn fleet(
+    config: &Config,
+    station: Option<peers::Station>,
+    clock: clock::Clock,
+    counters: &Counters,
+    draining: &watch::Receiver<Option<tokio::time::Instant>>,
+) -> io::Result<Option<(peers::Questions, tokio::task::JoinHandle<()>)>> {
+    let Some((station, peers)) = station.zip(config.operator.peers.clone()) else { return Ok(None) };
+    let tally = Arc::new(Tally::default());
+    counters.fleet(Arc::clone(&tally));
+    let (name, draining) = (config.name.clone(), draining.clone());
+    peers::start(station, peers::Start { name, peers, clock, tally, draining }).map(Some)
+}
+
 /// The longest time that a class of requests is given.
 fn longest(config: &Config) -> Duration {
     let longest = config.settings.classes.iter().map(|class| class.deadline.0).max();
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -15,6 +15,50 @@
     assert_eq!(operator.hosts.protocol("anything else"), Protocol::Postgres);
 }
 
+#[test]
+fn the_example_of_a_fleet_is_good_and_check_says_what_it_can_lose() {
+    let text = std::fs::read_to_string("deploy/operator/fleet.yaml").unwrap();
+    let peers = Operator::read(&text, "fleet.yaml").unwrap().peers.unwrap();
+    assert_eq!((peers.fleet.as_str(), peers.founders.len(), peers.second_key), ("north", 3, None));
+}
+
+#[rstest]
+#[case::no_fleet(
+    "{fleet: '', listen: '127.0.0.1:1', founders: {a: '127.0.0.1:1'}, key_files: [K]}",
+    "peers.fleet"
+)]
+#[case::no_port("{fleet: f, listen: here, founders: {a: '127.0.0.1:1'}, key_files: [K]}", "peers.listen")]
+#[case::nobody("{fleet: f, listen: '127.0.0.1:1', founders: {}, key_files: [K]}", "peers.founders")]
+#[case::nowhere(
+    "{fleet: f, listen: '127.0.0.1:1', founders: {a: there}, key_files: [K]}",
+    "peers.founders.a"
+)]
+#[case::no_member(
+    "{fleet: f, listen: '127.0.0.1:1', founders: {a: '127.0.0.1:1'}, members: {b: x}, key_files: [K]}",
+    "peers.members.b"
+)]
+#[case::no_key(
+    "{fleet: f, listen: '127.0.0.1:1', founders: {a: '127.0.0.1:1'}, key_files: []}",
+    "peers.key_files"
+)]
+#[case::three_keys(
+    "{fleet: f, listen: '127.0.0.1:1', founders: {a: '127.0.0.1:1'}, key_files: [K, K, K]}",
+    "peers.key_files"
+)]
+#[case::missing_file(
+    "{fleet: f, listen: '127.0.0.1:1', founders: {a: '127.0.0.1:1'}, key_files: [nowhere]}",
+    "peers.key_files"
+)]
+#[case::no_digits(
+    "{fleet: f, listen: '127.0.0.1:1', founders: {a: '127.0.0.1:1'}, key_files: [README.md]}",
+    "peers.key_files"
+)]
+fn a_fleet_that_makes_no_sense_is_refused(#[case] peers: &str, #[case] key: &str) {
+    let text = format!("peers: {}", peers.replace('K', "deploy/operator/fleet.key.example"));
+    let told = Operator::read(&text, "f").unwrap_err().to_string();
+    assert!(told.starts_with(&format!("f:1: {key}: ")) && told.lines().count() == 1, "{told}");
+}
+
 #[rstest]
 #[case::empty("")]
 #[case::remarks_only("# nothing\n\n")]
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,6 +1,7 @@
 //! The program on sockets: conversations in the language of `scenario`.
 
 mod deployments;
+mod fleet;
 mod memory;
 mod proxy;
 mod scenario;
--- a/tests/sockets/scenario/mod.rs
+++ b/tests/sockets/scenario/mod.rs
@@ -286,6 +286,10 @@
         Self { child, file, log }
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn log(&self, words: &str) -> String {
         let until = Instant::now() + PATIENCE;
         loop {
