Play scripts of troubles on real processes and in virtual time, with one checker

Relays between each two processes, each direction by itself (loss, doubling, truncation, delay, cuts); processes are killed, stopped, restarted, asked to leave.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,13 +3,16 @@
 
 mod demo;
 pub mod fleet;
+pub mod history;
 pub mod load;
 pub mod members;
 mod parity;
+pub mod processes;
 pub mod rig;
 mod scale;
 mod starve;
 mod table;
+pub mod trouble;
 
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
@@ -33,6 +36,12 @@
     Starve(starve::Starve),
     /// A fleet's membership in virtual time: traffic and times by the number of members. Exit status 0 within the goals.
     Scale(scale::Scale),
+    /// The program itself, for experiments with several processes of it; what follows are its own arguments.
+    #[command(hide = true, disable_help_flag = true)]
+    Proxy {
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        arguments: Vec<std::ffi::OsString>,
+    },
 }
 
 /// Why an experiment could not be made.
@@ -47,6 +56,9 @@
     /// Nor its operator's file.
     #[error("{0}")]
     Operator(#[from] wheelpier::config::OperatorError),
+    /// A script of troubles is none.
+    #[error("{0}")]
+    Script(String),
     /// A thread has ended before its time.
     #[error("a part of the experiment has ended before its time")]
     Ended,
@@ -55,12 +67,16 @@
 /// Runs what the command line asks for.
 pub fn main() -> ExitCode {
     let arguments = Arguments::parse();
+    if let Command::Proxy { arguments } = arguments.command {
+        return wheelpier::cli::main_with(std::iter::once("wheelpier".into()).chain(arguments));
+    }
     tracing_subscriber::fmt().with_writer(std::io::stderr).with_max_level(LevelFilter::ERROR).init();
     let done = match arguments.command {
         Command::Demo(demo) => demo.run().map(|()| true),
         Command::Parity(parity) => parity.run(),
         Command::Starve(starve) => starve.run(),
         Command::Scale(scale) => scale.run(),
+        Command::Proxy { .. } => Ok(true),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/lab/src/members.rs
+++ b/crates/lab/src/members.rs
@@ -2,15 +2,18 @@
 //! stopped, continued and come back; clocks that run at speeds and from moments of their own. The rules are looked at
 //! on the way: one view with each number, and nobody free to be replaced that still acts.
 
+use crate::history::{Event as Said, What};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use wheelpier_decisions::membership::advice::Tempo;
 use wheelpier_decisions::membership::agreement::{Durable, Event};
+use wheelpier_decisions::membership::chronicle::{Cause, Chronicle};
 use wheelpier_decisions::membership::member::{Member, Message, Output, Rules};
 use wheelpier_decisions::membership::{Identity, Name, Terms, View};
 use wheelpier_decisions::Time;
+use wheelpier_standin::link::Link;
 use wheelpier_standin::{MS, SECOND};
 
 /// What a datagram costs beside its message: addresses and lengths (28), who sends, the sequence and the fleet's mark (48).
@@ -39,6 +42,10 @@
     Delay(i64, i64),
     /// It takes its leave.
     Leave(usize),
+    /// All links are so, beside all else.
+    Links(Link),
+    /// All links of one member are so, both ways.
+    LinksOf(usize, Link),
 }
 
 struct Node {
@@ -48,6 +55,7 @@
     rate: f64,
     boot: u64,
     paused_until: i64,
+    chronicle: Chronicle,
 }
 
 enum Due {
@@ -75,6 +83,11 @@
     loss: f64,
     loss_at: BTreeMap<usize, f64>,
     delay: (i64, i64),
+    /// What scripts say of links, by direction.
+    links: BTreeMap<(usize, usize), Link>,
+    records: bool,
+    /// What members say of the fleet, where it is recorded.
+    pub history: Vec<Said>,
     /// Each view that was adopted, by number.
     pub views: BTreeMap<u64, View>,
     /// When each was first adopted.
@@ -89,6 +102,10 @@
     pub known: BTreeMap<(u64, usize), i64>,
 }
 
+fn what((epoch, who, cause): (u64, String, Cause), lease_until: i64) -> What {
+    What::Change { epoch, who, cause: format!("{cause:?}"), lease_until }
+}
+
 impl Fleet {
     /// So many members, of which the first are the seeds; `keeps` says whether they have disks. All start at once.
     pub fn new(members: usize, seeds: usize, keeps: bool, seed: u64) -> Self {
@@ -109,6 +126,9 @@
             loss: 0.0,
             loss_at: BTreeMap::new(),
             delay: (200, 2 * MS),
+            links: BTreeMap::new(),
+            records: false,
+            history: Vec::new(),
             views: BTreeMap::new(),
             adopted: BTreeMap::new(),
             bytes: 0,
@@ -120,6 +140,17 @@
         fleet
     }
 
+    /// So many members, all of them seeds, without disks, of which a history is kept.
+    pub fn recorded(members: usize, seed: u64) -> Self {
+        let mut fleet = Self::new(0, 0, false, seed);
+        fleet.names = (0..members).map(|n| format!("p{n:03}").as_str().into()).collect();
+        fleet.seeds = fleet.names.clone();
+        fleet.nodes = (0..members).map(|_| None).collect();
+        fleet.records = true;
+        (0..members).for_each(|n| fleet.start(n));
+        fleet
+    }
+
     fn start(&mut self, n: usize) {
         if self.nodes[n].is_some() {
             return;
@@ -138,7 +169,14 @@
         let member = Member::new(me, rules, kept, seed, Time(zero));
         // The clock shows `zero` at this moment of true time.
         let zero = zero - (self.now as f64 * rate) as i64;
-        self.nodes[n] = Some(Node { member, zero, rate, boot: self.boots, paused_until: 0 });
+        self.nodes[n] = Some(Node {
+            member,
+            zero,
+            rate,
+            boot: self.boots,
+            paused_until: 0,
+            chronicle: Chronicle::default(),
+        });
         self.act(n, |member, now, out| member.timer(now, out));
     }
 
@@ -157,8 +195,14 @@
         let (now, mut out) = (Self::local(node, self.now), Vec::new());
         act(&mut node.member, now, &mut out);
         for output in out {
+            if self.records {
+                self.record(n, &output);
+            }
             self.carry_out(n, output);
         }
+        if self.records {
+            self.record_freed(n);
+        }
         if let Some(node) = self.nodes[n].as_ref() {
             let (local, rate, boot) = (Self::local(node, self.now), node.rate, node.boot);
             let wait = ((node.member.next_timer().0 - local.0) as f64 / rate).ceil().max(0.0) as i64;
@@ -166,6 +210,45 @@
         }
     }
 
+    /// As the program logs it.
+    fn record(&mut self, n: usize, output: &Output) {
+        let Some(node) = self.nodes[n].as_mut() else { return };
+        let (me, local) = (node.member.me().clone(), Self::local(node, self.now));
+        // A lease's end is by the member's own clock.
+        let until = node.member.agreement().lease_until();
+        let until = until.map_or(0, |until| self.now + ((until.0 - local.0) as f64 / node.rate) as i64);
+        let mut said: Vec<What> =
+            node.chronicle.note(local, &me, output).into_iter().map(|change| what(change, until)).collect();
+        match output {
+            Output::Agreed(Event::View(view)) => {
+                let members = view.members.iter().map(ToString::to_string).collect();
+                said.push(What::View { epoch: view.epoch, members });
+            }
+            Output::Life(_) => said.push(What::Life),
+            Output::Twin(_) => said.push(What::Twin),
+            _ => {}
+        }
+        let (at, me) = (self.now, me.to_string());
+        self.history.extend(said.into_iter().map(|what| Said { at, process: n, me: me.clone(), what }));
+    }
+
+    fn record_freed(&mut self, n: usize) {
+        let Some(node) = self.nodes[n].as_mut() else { return };
+        let (local, me) = (Self::local(node, self.now), node.member.me().to_string());
+        let freed = node.chronicle.freed(local, node.member.agreement());
+        let epoch = node.member.agreement().view().epoch;
+        for who in freed {
+            let what = what((epoch, who.to_string(), Cause::Free), 0);
+            self.history.push(Said { at: self.now, process: n, me: me.clone(), what });
+        }
+    }
+
+    fn did(&mut self, n: usize, what: &'static str) {
+        if self.records {
+            self.history.push(Said { at: self.now, process: n, me: String::new(), what: What::Done(what) });
+        }
+    }
+
     fn carry_out(&mut self, n: usize, output: Output) {
         match output {
             Output::Send(to, message) => self.send(n, &to, message),
@@ -200,7 +283,16 @@
         }
         let Some(from) = self.nodes[n].as_ref().map(|node| node.member.me().clone()) else { return };
         let way = self.random.random_range(self.delay.0..=self.delay.1);
-        self.at(self.now + way, Due::Deliver(other, from, message));
+        let Some(link) = self.links.get(&(n, other)).filter(|link| **link != Link::default()) else {
+            return self.at(self.now + way, Due::Deliver(other, from, message));
+        };
+        let bytes = postcard::to_allocvec(&message).map_or(0, |bytes| bytes.len());
+        // What lacks its end is nobody's message.
+        let copies: Vec<_> =
+            link.carry(bytes, &mut self.random).into_iter().filter(|c| c.bytes == bytes).collect();
+        for copy in copies {
+            self.at(self.now + way + copy.after, Due::Deliver(other, from.clone(), message.clone()));
+        }
     }
 
     /// Plays on until that moment; the rules are looked at with every event.
@@ -253,7 +345,10 @@
 
     fn trouble(&mut self, trouble: Trouble) {
         match trouble {
-            Trouble::Kill(n) => self.nodes[n] = None,
+            Trouble::Kill(n) => {
+                self.nodes[n] = None;
+                self.did(n, "killed");
+            }
             Trouble::Start(n) => self.start(n),
             Trouble::Pause(n, span) => {
                 let until = self.now + span;
@@ -272,11 +367,23 @@
             Trouble::Heal => {
                 self.cut.clear();
                 self.loss_at.clear();
+                self.links.clear();
                 (self.loss, self.delay) = (0.0, (200, 2 * MS));
             }
             Trouble::Loss(part) => self.loss = part,
             Trouble::LossAt(n, part) => _ = self.loss_at.insert(n, part),
             Trouble::Delay(least, most) => self.delay = (least, most),
+            Trouble::Links(link) => {
+                let all = self.names.len();
+                let pairs = (0..all).flat_map(|a| (0..all).map(move |b| (a, b))).filter(|(a, b)| a != b);
+                self.links = pairs.map(|pair| (pair, link.clone())).collect();
+            }
+            Trouble::LinksOf(n, link) => {
+                for other in (0..self.names.len()).filter(|other| *other != n) {
+                    self.links.insert((n, other), link.clone());
+                    self.links.insert((other, n), link.clone());
+                }
+            }
             Trouble::Leave(n) => self.act(n, |member, now, out| member.leave(now, out)),
         }
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod checker;
 pub mod host;
 pub mod keys;
+pub mod link;
 pub mod net;
 pub mod replication;
 pub mod schedule;
--- a/crates/standin/src/net/mod.rs
+++ b/crates/standin/src/net/mod.rs
@@ -5,6 +5,7 @@
 mod discovery;
 mod front;
 mod postgres;
+pub mod relay;
 mod tds;
 
 use crate::checker::{Breach, Rule};
