Judge by the voters that have yet to speak, and start without leaving a life behind

Seen on processes: 49 suspicions in 7 kills, all of lives that a start had abandoned at once; a process restarted at once let in after 11 s, since the new life answered for the old one. In virtual time: three put out by rows that came one by one. Letters are for one life; a life that never asked to be let in stays itself; a voter that is heard and has not spoken under the view counts as hearing all; what lasts under 250 ms is a passing matter.

--- a/crates/decisions/src/membership/member.rs
+++ b/crates/decisions/src/membership/member.rs
@@ -64,6 +64,8 @@
 /// A member whose word has not come for so many quarters of the time between its askings is not heard: a voter, which
 /// speaks twice as often, and any other, of which one asking may get lost.
 const UNHEARD: (i64, i64) = (5, 9);
+/// What lasts for less than this part of the time between askings is a passing matter: messages get lost.
+const PASSING: i64 = 4;
 /// A voter's row holds for so many looks.
 const ROW: i64 = 4;
 /// A member that most do not hear, or that has no lease, for so many leases goes, whatever the advice is.
@@ -100,6 +102,12 @@
     refused_since: Option<Time>,
     told_twin: bool,
     leaving: bool,
+    /// Whether this life may have been let in: it has asked for that, or taken part in founding the fleet.
+    offered: bool,
+    /// From when on it does so: before, it looks whether there is a fleet already.
+    offers_at: Time,
+    /// When it was let in.
+    in_since: Time,
     /// Since when too few voters speak for a view to follow.
     alone_since: Option<Time>,
     /// Whether that was for long: what was thought of the others meanwhile says nothing once they speak again.
@@ -113,6 +121,7 @@
     pub fn new(me: Identity, rules: Rules, kept: Durable, seed: u64, now: Time) -> Self {
         let agreement = Agreement::new(me.clone(), rules.terms, &rules.seeds, kept, now);
         let advice = Advice::new(me.clone(), rules.tempo, seed, now);
+        let ballot = rules.terms.ballot;
         Self {
             me,
             rules,
@@ -131,6 +140,9 @@
             refused_since: None,
             told_twin: false,
             leaving: false,
+            offered: false,
+            offers_at: Time(now.0 + ballot),
+            in_since: Time(i64::MIN / 2),
             alone_since: None,
             apart: false,
             settled_at: now,
@@ -194,12 +206,16 @@
                 self.advise(now, out, |advice, now, more| advice.heard(now, from, message, more));
             }
             Message::Agreement(message) => {
+                let founds =
+                    matches!(message, agreement::Message::Prepare { .. } | agreement::Message::Accept { .. });
+                self.offered |= founds && self.agreement.view().epoch == 0;
                 self.agree(now, out, |agreement, more| agreement.heard(now, from, message, more));
             }
             Message::Row(row) => {
                 if self.agreement.view().elects(from) {
                     row.leavers.iter().for_each(|who| self.leaves(who, out));
-                    self.rows.insert(from.clone(), (row, now));
+                    let told = self.rows.insert(from.clone(), (row, now));
+                    self.told_anew(now, from, told.map(|(row, _)| row), out);
                 }
             }
             Message::Hello => self.hello(now, from, out),
@@ -238,7 +254,12 @@
         for output in more {
             match output {
                 advice::Output::Send(to, message) => out.push(Output::Send(to, Message::Advice(message))),
-                advice::Output::Changed(who, opinion) => out.push(Output::Advised(who, opinion)),
+                advice::Output::Changed(who, opinion) => {
+                    if opinion == Opinion::Gone {
+                        self.look_at = now;
+                    }
+                    out.push(Output::Advised(who, opinion));
+                }
                 advice::Output::Stood(span) => {
                     // What it knew of the others is old: it judges nobody until it has heard anew.
                     self.rows.clear();
@@ -297,12 +318,15 @@
             self.advise(now, out, |advice, now, more| advice.met(now, member, more));
         }
         if view.contains(&self.me) && !old.contains(&self.me) {
+            self.in_since = now;
             // What it waited before it was let in is no sign that it cannot get its lease.
             self.fenced_since = Some(now);
         }
         if self.leaving && !view.contains(&self.me) {
             out.push(Output::Parted);
-        } else if !view.contains(&self.me) && (old.contains(&self.me) || view.epoch > old.epoch + 1) {
+        } else if !view.contains(&self.me)
+            && (old.contains(&self.me) || (self.offered && view.epoch > old.epoch + 1))
+        {
             // It was a member, or may have been one in between: a life is let in once at the most.
             self.reborn(now, self.me.life + 1, out);
         }
@@ -335,6 +359,7 @@
         }
         self.fenced_since = Some(now);
         self.undecided_since = None;
+        self.offered = false;
     }
 
     // ---- Coming and going ------------------------------------------------------------------------------
@@ -362,12 +387,16 @@
         }
     }
 
-    fn ask_in(&mut self, out: &mut Vec<Output>) {
+    fn ask_in(&mut self, now: Time, out: &mut Vec<Output>) {
         let epoch = self.agreement.view().epoch;
+        let offers = epoch > 0 || now >= self.offers_at;
+        self.offered |= offers;
         for voter in self.agreement.view().electors() {
             if voter.name != self.me.name {
                 out.push(Output::Send(voter.clone(), Message::Agreement(agreement::Message::Ask { epoch })));
-                out.push(Output::Send(voter.clone(), Message::Hello));
+                if offers {
+                    out.push(Output::Send(voter.clone(), Message::Hello));
+                }
             }
         }
         // The voters that it knows of may all be others by now: the seeds are asked as well.
@@ -391,8 +420,8 @@
                 let life = there.life + 1;
                 self.reborn(now, life, out);
             }
-            self.ask_in(out);
-            if view.epoch == 0 && view.elects(&self.me) {
+            self.ask_in(now, out);
+            if self.offered && view.epoch == 0 && view.elects(&self.me) {
                 self.found(now, &view, out);
             }
             return;
@@ -435,7 +464,8 @@
         self.stuck.retain(|_, at| now.0 - at.0 < ROW * look);
         let heard = |member: &Identity| {
             let quarters = if view.elects(member) { UNHEARD.0 } else { UNHEARD.1 };
-            let at = self.advice.heard_at(member);
+            // Whoever has just come in has heard nobody yet.
+            let at = self.advice.heard_at(member).max(Some(self.in_since));
             *member == self.me || at.is_some_and(|at| now.0 - at.0 < quarters * terms.renew / 4)
         };
         Row {
@@ -457,6 +487,16 @@
             .collect()
     }
 
+    /// A voter hears others than it said last: what follows from that need not wait for the next look.
+    fn told_anew(&mut self, now: Time, from: &Identity, before: Option<Row>, out: &mut Vec<Output>) {
+        let hears = |row: &Row| (row.epoch, row.hears.clone());
+        let row = self.rows.get(from).map(|(row, _)| hears(row));
+        if before.as_ref().map(hears) != row && self.rows.contains_key(&self.me) {
+            let view = self.agreement.view().clone();
+            self.steer(now, &view, out);
+        }
+    }
+
     /// Whether most voters speak, and have done so for long enough after a time in which they did not: those who come
     /// back do so one after the other, and whoever is heard last would seem to be gone.
     fn settled(&mut self, now: Time, most_speak: bool) -> bool {
@@ -487,10 +527,14 @@
         if !self.settled(now, steward::most_speak(view, &rows)) || self.agreement.proposing() {
             return;
         }
-        let heard = steward::heard_by_most(view, &rows);
-        self.unheard.retain(|who, _| !heard.contains(who));
-        for member in view.members.iter().filter(|member| !heard.contains(*member)) {
-            self.unheard.entry(member.clone()).or_insert(now);
+        let unheard = steward::unheard_by_most(view, &self.me, &rows);
+        self.unheard.retain(|who, _| unheard.contains(who));
+        let passing = self.rules.terms.renew / PASSING;
+        for member in unheard {
+            self.unheard.entry(member).or_insert_with(|| {
+                self.look_at = self.look_at.min(Time(now.0 + passing));
+                now
+            });
         }
         if steward::steward(view, &self.me, &rows) != Some(&self.me) && !stalled {
             return;
@@ -498,9 +542,10 @@
         let dull = DULL * self.rules.terms.lease;
         let sure = |who: &Identity| {
             let gone = matches!(self.advice.opinion(who), Some(Opinion::Gone | Opinion::Left));
-            gone || self.unheard.get(who).is_some_and(|since| now.0 - since.0 > dull)
+            let unheard = self.unheard.get(who).map_or(0, |since| now.0 - since.0);
+            (gone && unheard >= passing) || unheard > dull
         };
-        let wish = steward::wish(view, &rows, &self.flaps, sure, now);
+        let wish = steward::wish(view, &self.me, &rows, &self.flaps, sure, now);
         if stalled || view.next(&wish).is_some() {
             self.agree(now, out, |agreement, more| agreement.propose(now, wish, more));
         }
--- a/crates/decisions/src/membership/post/mod.rs
+++ b/crates/decisions/src/membership/post/mod.rs
@@ -49,8 +49,8 @@
 pub struct Envelope {
     /// Who sends it.
     pub from: Identity,
-    /// Who is to have it.
-    pub to: Name,
+    /// Who is to have it: that life alone, or any of the name where its number is 0.
+    pub to: Identity,
     /// The sender's process: another one after each start.
     pub boot: u64,
     /// Its number among all that the process has sent.
@@ -212,7 +212,7 @@
     ) -> Result<Vec<Parcel>, Dropped> {
         match self.book.address(to) {
             Some(address) => {
-                let parcel = self.parcel(from, &to.name, address, Letter::Member(message))?;
+                let parcel = self.parcel(from, to, address, Letter::Member(message))?;
                 Ok(vec![parcel])
             }
             None => self.seek(now, from, &to.name),
@@ -222,13 +222,13 @@
     fn parcel(
         &mut self,
         from: &Identity,
-        to: &Name,
+        to: &Identity,
         address: SocketAddr,
         letter: Letter,
     ) -> Result<Parcel, Dropped> {
         self.number += 1;
         let (boot, number) = (self.boot, self.number);
-        let envelope = Envelope { from: from.clone(), to: Name::clone(to), boot, number, letter };
+        let envelope = Envelope { from: from.clone(), to: to.clone(), boot, number, letter };
         let bytes = self.seal.seal(&envelope).filter(|bytes| bytes.len() <= LONGEST_STREAM);
         Ok(Parcel { address, bytes: bytes.ok_or(Dropped::Oversized)? })
     }
@@ -248,7 +248,7 @@
         let mut parcels = Vec::new();
         for guide in guides {
             let Some(address) = self.book.address(&guide) else { continue };
-            parcels.push(self.parcel(from, &guide.name, address, Letter::Where(Name::clone(name)))?);
+            parcels.push(self.parcel(from, &any(&guide), address, Letter::Where(Name::clone(name)))?);
         }
         Ok(parcels)
     }
@@ -269,7 +269,8 @@
             return Err(Dropped::Oversized);
         }
         let Envelope { from, to, boot, number, letter } = self.seal.open(bytes)?;
-        if to != self.me || (from.name == self.me && boot == self.boot) {
+        let other_life = to.life != 0 && to.life != me.life;
+        if to.name != self.me || other_life || (from.name == self.me && boot == self.boot) {
             return Err(Dropped::Astray);
         }
         let process = (from.name.clone(), boot);
@@ -277,7 +278,7 @@
         if let Letter::Who { nonce } = letter {
             let back = source.or_else(|| self.book.address(&from));
             let reply = back
-                .map(|address| self.parcel(me, &from.name, address, Letter::Here { nonce }))
+                .map(|address| self.parcel(me, &any(&from), address, Letter::Here { nonce }))
                 .transpose()?;
             return Ok(Opened { message: None, reply });
         }
@@ -301,7 +302,7 @@
             Letter::Member(message) => opened.message = Some((from, message)),
             Letter::Where(name) => {
                 if let (Some(there), Some(address)) = (self.book.known(&name), self.book.address(&from)) {
-                    opened.reply = Some(self.parcel(me, &from.name, address, Letter::There(name, there))?);
+                    opened.reply = Some(self.parcel(me, &any(&from), address, Letter::There(name, there))?);
                 }
             }
             Letter::There(name, address) => self.book.told(&name, address),
@@ -334,7 +335,7 @@
             _ => None,
         };
         self.asked.insert(process, Asked { nonce, at: now, held });
-        let reply = self.parcel(me, &from.name, address, Letter::Who { nonce })?;
+        let reply = self.parcel(me, &any(&from), address, Letter::Who { nonce })?;
         Ok(Opened { message: None, reply: Some(reply) })
     }
 
@@ -363,5 +364,10 @@
     }
 }
 
+/// The process of that name, whichever life it is: of processes, not of members.
+fn any(who: &Identity) -> Identity {
+    Identity { life: 0, ..who.clone() }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/decisions/src/membership/post/seal.rs
+++ b/crates/decisions/src/membership/post/seal.rs
@@ -147,7 +147,7 @@
 
     fn envelope() -> Envelope {
         let from = Identity::new("a", 7);
-        Envelope { from, to: "b".into(), boot: 3, number: 9, letter: Letter::Who { nonce: 5 } }
+        Envelope { from, to: Identity::new("b", 0), boot: 3, number: 9, letter: Letter::Who { nonce: 5 } }
     }
 
     #[test]
--- a/crates/decisions/src/membership/post/tests.rs
+++ b/crates/decisions/src/membership/post/tests.rs
@@ -110,7 +110,9 @@
     let parcels = a.write(&b.me, 1);
     let mut c = process("c", 3, 30, &FILE);
     assert_eq!(c.open(&parcels[0].bytes, 1), Err(Dropped::Astray));
-    let own = b.write(&Identity::new("b", 5), 1);
+    let next_life = a.write(&Identity::new("b", 21), 2);
+    assert_eq!(b.open(&next_life[0].bytes, 1), Err(Dropped::Astray), "nobody answers for another life");
+    let own = b.write(&Identity::new("b", 0), 1);
     assert_eq!(b.open(&own[0].bytes, 2), Err(Dropped::Astray), "reflected");
 }
 
--- a/crates/decisions/src/membership/steward.rs
+++ b/crates/decisions/src/membership/steward.rs
@@ -60,17 +60,34 @@
 /// Whom most voters hear, by what their rows say: those of this view only. A voter hears itself. Voters without a row
 /// hear nobody: their silence is no voice for anybody.
 pub fn heard_by_most(view: &View, rows: &BTreeMap<Identity, Row>) -> BTreeSet<Identity> {
-    let rows = || {
-        view.electors()
-            .iter()
-            .filter_map(|voter| Some((voter, rows.get(voter)?)))
-            .filter(|(_, r)| r.epoch == view.epoch)
-    };
-    let hears = |place: usize, member: &Identity| {
-        rows().filter(|(voter, row)| *voter == member || row.hears.get(place) == Some(&true)).count()
+    let members = view.members.iter().enumerate();
+    let heard = members.filter(|(place, member)| voices(view, rows, *place, member) >= view.quorum());
+    heard.map(|(_, member)| member.clone()).collect()
+}
+
+/// How many voters say that they hear the member in that place. A voter hears itself.
+fn voices(view: &View, rows: &BTreeMap<Identity, Row>, place: usize, member: &Identity) -> usize {
+    let hears = |voter: &&Identity| {
+        let row = rows.get(*voter).filter(|row| row.epoch == view.epoch);
+        row.is_some_and(|row| *voter == member || row.hears.get(place) == Some(&true))
     };
+    view.electors().iter().filter(hears).count()
+}
+
+/// Whom most voters do not hear, as far as a voter can tell: one that it hears itself, and that has yet to speak under this
+/// view, may hear everybody.
+pub fn unheard_by_most(view: &View, me: &Identity, rows: &BTreeMap<Identity, Row>) -> BTreeSet<Identity> {
+    let own = rows.get(me).filter(|row| row.epoch == view.epoch);
+    let speaks = |voter: &Identity| rows.get(voter).is_some_and(|row| row.epoch == view.epoch);
+    let voters = view.electors().iter().enumerate();
+    let silent = voters.filter(|(place, voter)| {
+        !speaks(voter) && own.is_some_and(|own| own.hears.get(*place) == Some(&true))
+    });
+    let silent = silent.count();
     let members = view.members.iter().enumerate();
-    members.filter(|(place, member)| hears(*place, member) >= view.quorum()).map(|(_, m)| m.clone()).collect()
+    let unheard =
+        members.filter(|(place, member)| voices(view, rows, *place, member) + silent < view.quorum());
+    unheard.map(|(_, member)| member.clone()).collect()
 }
 
 /// Whose turn it is to wish, as a voter sees it: the first one that it hears and that has its lease, or itself. Two may
@@ -93,12 +110,13 @@
 /// The change that the rows ask for. `sure` says of a member that most do not hear whether that is no passing matter.
 pub fn wish(
     view: &View,
+    me: &Identity,
     rows: &BTreeMap<Identity, Row>,
     flaps: &Flaps,
     sure: impl Fn(&Identity) -> bool,
     now: Time,
 ) -> Change {
-    let heard = heard_by_most(view, rows);
+    let unheard = unheard_by_most(view, me, rows);
     let all = |of: fn(&Row) -> &BTreeSet<Identity>| -> BTreeMap<&Identity, usize> {
         let mut counts = BTreeMap::new();
         rows.values().flat_map(of).for_each(|who| *counts.entry(who).or_insert(0) += 1);
@@ -107,7 +125,7 @@
     let stuck = all(|row| &row.stuck);
     let leavers = all(|row| &row.leavers);
     let goes = |member: &&Identity| {
-        (!heard.contains(*member) && sure(member))
+        (unheard.contains(*member) && sure(member))
             || leavers.contains_key(*member)
             || stuck.get(*member).is_some_and(|voters| *voters >= view.quorum())
     };
@@ -171,7 +189,7 @@
         for step in 0..=members {
             let places: Vec<usize> = now.members.iter().map(place).collect();
             let rows = rows(&now, |a, b| linked(places[a], places[b]));
-            let wished = wish(&now, &rows, &Flaps::default(), |_| true, Time(0));
+            let wished = wish(&now, &now.members[0], &rows, &Flaps::default(), |_| true, Time(0));
             let heard = heard_by_most(&now, &rows);
             assert_eq!(wished.out, now.members.iter().filter(|m| !heard.contains(*m)).cloned().collect());
             // It comes to a view only if most of the voters can speak with each other through its steward.
@@ -186,7 +204,10 @@
         let five = view(5);
         for (a, b) in [(0, 1), (1, 0), (4, 0), (2, 3)] {
             let rows = rows(&five, |voter, member| (voter, member) != (a, b));
-            assert_eq!(wish(&five, &rows, &Flaps::default(), |_| true, Time(0)), Change::default());
+            assert_eq!(
+                wish(&five, &five.members[0], &rows, &Flaps::default(), |_| true, Time(0)),
+                Change::default()
+            );
         }
     }
 
@@ -194,7 +215,7 @@
     fn a_member_that_most_do_not_hear_goes_though_it_hears_all() {
         let five = view(5);
         let rows = rows(&five, |voter, member| member != 4 || voter == 0);
-        let out = wish(&five, &rows, &Flaps::default(), |_| true, Time(0)).out;
+        let out = wish(&five, &five.members[0], &rows, &Flaps::default(), |_| true, Time(0)).out;
         assert_eq!(out, [five.members[4].clone()].into());
     }
 
@@ -215,16 +236,36 @@
         let comer = Identity::new("m2", 9);
         let mut rows = rows(&three, |_, _| true);
         rows.get_mut(&three.members[0]).unwrap().comers.insert(comer.clone());
-        assert_eq!(wish(&three, &rows, &Flaps::default(), |_| true, Time(0)), Change::default());
+        assert_eq!(
+            wish(&three, &three.members[0], &rows, &Flaps::default(), |_| true, Time(0)),
+            Change::default()
+        );
         assert_eq!(twin(&three, &comer, &rows), Some(&three.members[2]));
         for voter in &three.members[..2] {
             rows.get_mut(voter).unwrap().hears[2] = false;
         }
-        let wished = wish(&three, &rows, &Flaps::default(), |_| true, Time(0));
+        let wished = wish(&three, &three.members[0], &rows, &Flaps::default(), |_| true, Time(0));
         assert_eq!((wished.out.len(), wished.join), (1, [comer.clone()].into()));
         assert_eq!(twin(&three, &comer, &rows), None);
     }
 
+    /// Right after a view rows come one by one: whoever has yet to speak may hear everybody.
+    #[test]
+    fn voters_that_are_heard_and_have_yet_to_speak_put_nobody_out() {
+        let five = view(5);
+        // The last one has just come in and hears nobody.
+        let mut some = rows(&five, |voter, _| voter != 4);
+        some.remove(&five.members[1]);
+        some.remove(&five.members[2]);
+        let wished = |rows: &BTreeMap<Identity, Row>| {
+            wish(&five, &five.members[0], rows, &Flaps::default(), |_| true, Time(0)).out
+        };
+        assert_eq!(wished(&some), BTreeSet::new());
+        // Two that are not heard either have no say.
+        some.values_mut().for_each(|row| row.hears = vec![true, false, false, true, true]);
+        assert_eq!(wished(&some), five.members[1..3].iter().cloned().collect());
+    }
+
     #[test]
     fn whoever_is_put_out_again_and_again_stays_out_longer_each_time() {
         let (with, without) = (view(4), View { epoch: 4, ..view(3) });
