Measure a fleet of processes under load and troubles: wheelpier-lab membership

Kills one after the other under client load, then each script on a fleet of its own; detection, views, suspicions, evictions, the gap before another may act, bytes and CPU.

--- a/crates/lab/src/history.rs
+++ b/crates/lab/src/history.rs
@@ -39,6 +39,13 @@
         /// Until when the process that says it believes in its own lease.
         lease_until: i64,
     },
+    /// What it thinks of a member, which may be wrong.
+    Advice {
+        /// Of whom.
+        who: String,
+        /// What, as [`wheelpier::membership::advice::Opinion`] names it.
+        opinion: String,
+    },
     /// It goes on as another life.
     Life,
     /// Another process has its name.
@@ -67,6 +74,7 @@
                 cause: text("cause")?,
                 lease_until: number("lease_until_us")?,
             },
+            "advice" => What::Advice { who: text("who")?, opinion: text("opinion")? },
             "life" => What::Life,
             "twin" => What::Twin,
             "forked" => What::Forked,
@@ -155,7 +163,11 @@
                 acted.insert(event.me.clone(), i64::MAX);
                 continue;
             }
-            What::Change { cause, lease_until, .. } if cause == "Fenced" => event.at.min(*lease_until),
+            What::Change { cause, lease_until, .. } if cause == "Fenced" => match lease_until {
+                // It was put out and runs: what it had of a lease is gone.
+                0 => event.at,
+                until => event.at.min(*until),
+            },
             What::Life | What::Done("killed") => event.at,
             _ => continue,
         };
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod history;
 pub mod load;
 pub mod members;
+mod membership;
 mod parity;
 pub mod processes;
 pub mod rig;
@@ -36,6 +37,8 @@
     Starve(starve::Starve),
     /// A fleet's membership in virtual time: traffic and times by the number of members. Exit status 0 within the goals.
     Scale(scale::Scale),
+    /// A fleet of real processes under load and under each script of troubles. Exit status 0 within the goals.
+    Membership(membership::Membership),
     /// The program itself, for experiments with several processes of it; what follows are its own arguments.
     #[command(hide = true, disable_help_flag = true)]
     Proxy {
@@ -76,6 +79,7 @@
         Command::Parity(parity) => parity.run(),
         Command::Starve(starve) => starve.run(),
         Command::Scale(scale) => scale.run(),
+        Command::Membership(membership) => membership.run(),
         Command::Proxy { .. } => Ok(true),
     };
     match done {
--- a/crates/lab/src/members.rs
+++ b/crates/lab/src/members.rs
@@ -59,7 +59,8 @@
 }
 
 enum Due {
-    Deliver(usize, Identity, Message),
+    /// To a process, for one life of it or, where that is 0, for any; from whom.
+    Deliver(usize, u64, Identity, Message),
     Timer(usize, u64),
     Trouble(Trouble),
 }
@@ -224,6 +225,9 @@
                 let members = view.members.iter().map(ToString::to_string).collect();
                 said.push(What::View { epoch: view.epoch, members });
             }
+            Output::Advised(who, opinion) => {
+                said.push(What::Advice { who: who.to_string(), opinion: format!("{opinion:?}") });
+            }
             Output::Life(_) => said.push(What::Life),
             Output::Twin(_) => said.push(What::Twin),
             _ => {}
@@ -284,14 +288,14 @@
         let Some(from) = self.nodes[n].as_ref().map(|node| node.member.me().clone()) else { return };
         let way = self.random.random_range(self.delay.0..=self.delay.1);
         let Some(link) = self.links.get(&(n, other)).filter(|link| **link != Link::default()) else {
-            return self.at(self.now + way, Due::Deliver(other, from, message));
+            return self.at(self.now + way, Due::Deliver(other, to.life, from, message));
         };
         let bytes = postcard::to_allocvec(&message).map_or(0, |bytes| bytes.len());
         // What lacks its end is nobody's message.
         let copies: Vec<_> =
             link.carry(bytes, &mut self.random).into_iter().filter(|c| c.bytes == bytes).collect();
         for copy in copies {
-            self.at(self.now + way + copy.after, Due::Deliver(other, from.clone(), message.clone()));
+            self.at(self.now + way + copy.after, Due::Deliver(other, to.life, from.clone(), message.clone()));
         }
     }
 
@@ -309,13 +313,18 @@
         self.nobody_acts_for_one_that_acts();
     }
 
+    fn life(&self, n: usize) -> Option<u64> {
+        self.nodes[n].as_ref().map(|node| node.member.me().life)
+    }
+
     fn happens(&mut self, due: Due) {
         let paused = |fleet: &Self, n: usize| {
             fleet.nodes[n].as_ref().map(|node| node.paused_until).filter(|until| *until > fleet.now)
         };
         match due {
-            Due::Deliver(n, from, message) => match paused(self, n) {
-                Some(until) => self.at(until + 1, Due::Deliver(n, from, message)),
+            Due::Deliver(n, life, ..) if life != 0 && self.life(n).is_some_and(|own| own != life) => {}
+            Due::Deliver(n, life, from, message) => match paused(self, n) {
+                Some(until) => self.at(until + 1, Due::Deliver(n, life, from, message)),
                 None => self.act(n, |member, now, out| member.heard(now, &from, message, out)),
             },
             Due::Timer(n, boot) => {
--- a/crates/lab/src/processes.rs
+++ b/crates/lab/src/processes.rs
@@ -14,6 +14,8 @@
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::time::{sleep, Instant};
 use wheelpier_standin::link::Link;
 use wheelpier_standin::net::relay::Relay;
@@ -33,9 +35,22 @@
     last: BTreeMap<usize, Vec<String>>,
 }
 
+/// What processes serve: without it they have no ledger hosts.
+#[derive(Clone, Debug)]
+pub struct Ground {
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// The list that they hold at their start.
+    pub known: serde_json::Value,
+    /// Requests a second that all of them together have to expect.
+    pub rate: f64,
+}
+
 struct Node {
     name: String,
     listen: SocketAddr,
+    clients: SocketAddr,
+    console: SocketAddr,
     child: Option<Child>,
     stopped: bool,
 }
@@ -47,6 +62,7 @@
     nodes: Vec<Node>,
     /// Between each two, the one with the lower number first.
     relays: BTreeMap<(usize, usize), Relay>,
+    ground: Option<Ground>,
     told: Arc<Mutex<Told>>,
     clock: Clock,
 }
@@ -57,17 +73,41 @@
     /// # Errors
     /// When ports, files or processes cannot be had.
     pub async fn start(program: PathBuf, members: usize, seed: u64) -> Result<Self, LabError> {
-        let directory = std::env::temp_dir().join(format!(
-            "wheelpier-fleet-{}-{}",
-            std::process::id(),
-            FLEETS.fetch_add(1, Relaxed)
-        ));
+        Self::start_on(program, members, seed, None).await
+    }
+
+    /// This very binary, which is the program as well.
+    ///
+    /// # Errors
+    /// When the system does not tell.
+    pub fn own_program() -> Result<PathBuf, LabError> {
+        Ok(std::env::current_exe()?)
+    }
+
+    /// The same with something to serve.
+    ///
+    /// # Errors
+    /// As there.
+    pub async fn start_on(
+        program: PathBuf,
+        members: usize,
+        seed: u64,
+        ground: Option<Ground>,
+    ) -> Result<Self, LabError> {
+        let number = FLEETS.fetch_add(1, Relaxed);
+        let directory = std::env::temp_dir().join(format!("wheelpier-fleet-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&directory)?;
         std::fs::write(directory.join("key"), "5e".repeat(32))?;
-        let mut nodes = Vec::new();
-        for n in 0..members {
-            nodes.push(Node { name: format!("p{n}"), listen: free()?, child: None, stopped: false });
-        }
+        let places = free(3 * members, number)?;
+        let node = |(n, at): (usize, &[SocketAddr])| Node {
+            name: format!("p{n}"),
+            listen: at[0],
+            clients: at[1],
+            console: at[2],
+            child: None,
+            stopped: false,
+        };
+        let nodes: Vec<Node> = places.chunks_exact(3).enumerate().map(node).collect();
         let mut relays = BTreeMap::new();
         for a in 0..members {
             for b in a + 1..members {
@@ -78,7 +118,7 @@
             }
         }
         let told = Arc::default();
-        let mut fleet = Self { program, directory, nodes, relays, told, clock: Clock::start() };
+        let mut fleet = Self { program, directory, nodes, relays, ground, told, clock: Clock::start() };
         for n in 0..members {
             fleet.write_files(n, seed)?;
             fleet.begin(n)?;
@@ -95,12 +135,19 @@
         let operator = json!({"peers": {
             "fleet": "lab", "listen": node.listen.to_string(), "founders": founders, "key_files": [key],
         }});
-        let mut settings = Spec::sapporo().settings(100.0);
+        let rate = self.ground.as_ref().map_or(100.0, |ground| ground.rate);
+        let mut settings = Spec::sapporo().settings(rate);
         settings["limits"]["mayTell"] = json!(true);
-        let config = json!({
-            "name": node.name, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "settings": settings,
-            "seed": format!("{:x}", seed + n as u64), "limits": {"sockets": 256},
+        settings["balancers"] = json!(self.nodes.len());
+        let mut config = json!({
+            "name": node.name, "listen": node.clients.to_string(), "console": node.console.to_string(),
+            "discovery": "127.0.0.1:9", "settings": settings, "seed": format!("{:x}", seed + n as u64),
+            "limits": {"sockets": 512},
         });
+        if let Some(ground) = &self.ground {
+            config["discovery"] = json!(ground.discovery.to_string());
+            config["known"] = ground.known.clone();
+        }
         std::fs::write(self.file(n, "json"), config.to_string())?;
         // JSON is YAML.
         std::fs::write(self.file(n, "yaml"), operator.to_string())?;
@@ -252,6 +299,34 @@
         self.told().events.clone()
     }
 
+    /// Where clients of a process connect.
+    pub fn clients(&self, n: usize) -> SocketAddr {
+        self.nodes[n].clients
+    }
+
+    /// Who a process is, by what it said last.
+    pub fn life(&self, n: usize) -> String {
+        let told = self.told();
+        let last = told.events.iter().rev().find(|event| event.process == n && !event.me.is_empty());
+        last.map(|event| event.me.clone()).unwrap_or_default()
+    }
+
+    /// What all that run have sent to each other, in bytes, and how long they have run on a core, in seconds.
+    ///
+    /// # Errors
+    /// When a console does not answer.
+    pub async fn spent(&self) -> Result<(u64, f64), LabError> {
+        let (mut bytes, mut seconds) = (0, 0.0);
+        for node in &self.nodes {
+            let Some(child) = &node.child else { continue };
+            let figures = get(node.console, "/admin/stats").await?;
+            let sent = figures.lines().find_map(|line| line.strip_prefix("gw.fleet.sent_bytes="));
+            bytes += sent.and_then(|sent| sent.parse::<u64>().ok()).ok_or(LabError::Ended)?;
+            seconds += on_a_core(child.id())?;
+        }
+        Ok((bytes, seconds))
+    }
+
     /// The present, on the history's clock.
     pub fn now(&self) -> i64 {
         self.clock.now()
@@ -319,7 +394,29 @@
     }
 }
 
-/// An address that nobody has at the moment.
-fn free() -> std::io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+/// What a console answers.
+async fn get(console: SocketAddr, path: &str) -> Result<String, LabError> {
+    let mut stream = TcpStream::connect(console).await?;
+    stream.write_all(format!("GET {path} HTTP/1.1\r\nhost: {console}\r\n\r\n").as_bytes()).await?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await?;
+    Ok(answer)
+}
+
+/// How long a process has run, by the system's count of hundredths of a second (proc(5)).
+fn on_a_core(pid: u32) -> Result<f64, LabError> {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
+    // The name, in brackets, may hold anything.
+    let fields: Vec<&str> = text.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    let ticks = |at: usize| fields.get(at).and_then(|ticks| ticks.parse::<u64>().ok()).ok_or(LabError::Ended);
+    Ok((ticks(11)? + ticks(12)?) as f64 / 100.0)
+}
+
+/// So many addresses, on an address of this fleet's own: of 127.0.0.1 another might get a port before its process does.
+fn free(many: usize, fleet: u64) -> std::io::Result<Vec<SocketAddr>> {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let own = [127, 16 | (high & 15), low, (fleet % 250 + 1) as u8];
+    let held: Vec<TcpListener> =
+        (0..many).map(|_| TcpListener::bind(SocketAddr::from((own, 0)))).collect::<Result<_, _>>()?;
+    held.iter().map(TcpListener::local_addr).collect()
 }
--- a/crates/lab/src/trouble.rs
+++ b/crates/lab/src/trouble.rs
@@ -129,13 +129,26 @@
         living.into_iter().collect()
     }
 
+    /// Those with which something is done, and of which suspicions are no wonder.
+    pub fn troubled(&self) -> BTreeSet<usize> {
+        self.steps.iter().flat_map(|step| step.what.processes()).collect()
+    }
+
+    /// Those that were put out though they may not be.
+    pub fn wrongly_out(&self, history: &[Event]) -> Vec<usize> {
+        let may = |n: &usize| self.may_be_out.contains(n) || self.must_be_out.contains(n);
+        put_out(history).into_iter().filter(|n| !may(n)).collect()
+    }
+
     /// What of its history, or of its end, is not as the script says; none if all is.
     pub fn faults(&self, played: &Played) -> Vec<String> {
         let judged = judge(&played.history);
         let mut faults: Vec<String> = judged.broken.iter().map(broken).collect();
         let out = put_out(&played.history);
-        let wrongly = out.iter().filter(|n| !self.may_be_out.contains(n) && !self.must_be_out.contains(n));
-        faults.extend(wrongly.map(|n| format!("process {n} was put out, though nothing was wrong with it")));
+        let wrongly = self.wrongly_out(&played.history);
+        faults.extend(
+            wrongly.iter().map(|n| format!("process {n} was put out, though nothing was wrong with it")),
+        );
         let missing = self.must_be_out.difference(&out);
         faults.extend(missing.map(|n| format!("process {n} was not put out")));
         if played.settled_ms.is_none() {
--- a/crates/lab/tests/processes.rs
+++ b/crates/lab/tests/processes.rs
@@ -41,12 +41,12 @@
     fleet.until("two go on", PATIENCE, |fleet| fleet.agree(&[0, 3])).await;
     let history = fleet.history();
     let causes = |name: &str| -> Vec<&str> {
-        let of = |what| match what {
-            &What::Change { ref who, ref cause, .. } if who.starts_with(name) => Some(cause.as_str()),
-            _ => None,
-        };
         let own = ["Founded", "Joined", "LeaseHeld", "Fenced", "Stood", "Free"];
-        history.iter().filter_map(|event| of(&event.what)).filter(|cause| !own.contains(cause)).collect()
+        let of = history.iter().filter_map(|event| match &event.what {
+            What::Change { who, cause, .. } if who.starts_with(name) => Some(cause.as_str()),
+            _ => None,
+        });
+        of.filter(|cause| !own.contains(cause)).collect()
     };
     assert!(
         !causes("p2#").is_empty() && causes("p2#").iter().all(|cause| *cause == "Left"),
--- a/src/net/peers/mod.rs
+++ b/src/net/peers/mod.rs
@@ -206,7 +206,7 @@
             }
             Output::Life(me) => tracing::info!(event = "life", at_us = now.0, me = %me, "fleet"),
             Output::Advised(who, opinion) => {
-                tracing::debug!(event = "advice", at_us = now.0, me = %me, %who, ?opinion, "fleet");
+                tracing::info!(event = "advice", at_us = now.0, me = %me, %who, ?opinion, "fleet");
             }
             Output::Parted => self.parted = true,
             // Kept nowhere: without a disk each process is another life.
