Play a storm of joins, other versions, replays, stopped proposers and a liar

Relays write over the version and replay what they recorded; a fleet may have members that did not found it. wheelpier fleet status is shown on sockets.

--- a/crates/lab/src/members.rs
+++ b/crates/lab/src/members.rs
@@ -7,10 +7,11 @@
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
-use wheelpier_decisions::membership::advice::Tempo;
+use wheelpier_decisions::membership::advice::{self, News, Opinion, Tempo};
 use wheelpier_decisions::membership::agreement::{Durable, Event};
 use wheelpier_decisions::membership::chronicle::{Cause, Chronicle};
 use wheelpier_decisions::membership::member::{Member, Message, Output, Rules};
+use wheelpier_decisions::membership::steward::Row;
 use wheelpier_decisions::membership::{Identity, Name, Terms, View};
 use wheelpier_decisions::Time;
 use wheelpier_standin::link::Link;
@@ -46,6 +47,8 @@
     Links(Link),
     /// All links of one member are so, both ways.
     LinksOf(usize, Link),
+    /// It says of all others that it does not hear them and that they are gone.
+    Lies(usize),
 }
 
 struct Node {
@@ -86,6 +89,7 @@
     delay: (i64, i64),
     /// What scripts say of links, by direction.
     links: BTreeMap<(usize, usize), Link>,
+    liars: BTreeSet<usize>,
     records: bool,
     /// What members say of the fleet, where it is recorded.
     pub history: Vec<Said>,
@@ -128,6 +132,7 @@
             loss_at: BTreeMap::new(),
             delay: (200, 2 * MS),
             links: BTreeMap::new(),
+            liars: BTreeSet::new(),
             records: false,
             history: Vec::new(),
             views: BTreeMap::new(),
@@ -141,14 +146,15 @@
         fleet
     }
 
-    /// So many members, all of them seeds, without disks, of which a history is kept.
-    pub fn recorded(members: usize, seed: u64) -> Self {
+    /// So many members without disks, of which a history is kept; the first are the seeds, and the others begin when they
+    /// are told to.
+    pub fn recorded(members: usize, seeds: usize, seed: u64) -> Self {
         let mut fleet = Self::new(0, 0, false, seed);
         fleet.names = (0..members).map(|n| format!("p{n:03}").as_str().into()).collect();
-        fleet.seeds = fleet.names.clone();
+        fleet.seeds = fleet.names[..seeds].to_vec();
         fleet.nodes = (0..members).map(|_| None).collect();
         fleet.records = true;
-        (0..members).for_each(|n| fleet.start(n));
+        (0..seeds).for_each(|n| fleet.start(n));
         fleet
     }
 
@@ -277,6 +283,10 @@
     }
 
     fn send(&mut self, n: usize, to: &Identity, message: Message) {
+        let message = match self.liars.contains(&n) {
+            true => self.lie(n, to, message),
+            false => message,
+        };
         self.messages += 1;
         self.bytes += AROUND + postcard::to_allocvec(&message).map_or(0, |bytes| bytes.len() as u64);
         let Some(other) = self.names.iter().position(|name| *name == to.name) else { return };
@@ -313,6 +323,28 @@
         self.nobody_acts_for_one_that_acts();
     }
 
+    /// What a member that lies says instead: it does not hear anybody, and all others are gone.
+    fn lie(&self, n: usize, to: &Identity, message: Message) -> Message {
+        let others = self.nodes.iter().flatten().map(|node| node.member.me().clone());
+        let gone = |who: Identity| News {
+            who,
+            opinion: Opinion::Gone,
+            refuted: u32::MAX / 2,
+            by: self.names[n].clone(),
+        };
+        let news = || others.clone().filter(|who| who.name != self.names[n] && who != to).map(gone).collect();
+        match message {
+            Message::Row(row) => Message::Row(Row { hears: vec![false; row.hears.len()], ..row }),
+            Message::Advice(advice::Message::Probe { number, .. }) => {
+                Message::Advice(advice::Message::Probe { number, news: news() })
+            }
+            Message::Advice(advice::Message::Answer { number, .. }) => {
+                Message::Advice(advice::Message::Answer { number, news: news() })
+            }
+            other => other,
+        }
+    }
+
     fn life(&self, n: usize) -> Option<u64> {
         self.nodes[n].as_ref().map(|node| node.member.me().life)
     }
@@ -387,6 +419,7 @@
                 let pairs = (0..all).flat_map(|a| (0..all).map(move |b| (a, b))).filter(|(a, b)| a != b);
                 self.links = pairs.map(|pair| (pair, link.clone())).collect();
             }
+            Trouble::Lies(n) => _ = self.liars.insert(n),
             Trouble::LinksOf(n, link) => {
                 for other in (0..self.names.len()).filter(|other| *other != n) {
                     self.links.insert((n, other), link.clone());
--- a/crates/lab/src/membership.rs
+++ b/crates/lab/src/membership.rs
@@ -110,8 +110,13 @@
         let installation = Installation::start(options, clock).await?;
         let ground =
             Ground { discovery: installation.discovery, known: installation.known.clone(), rate: self.rate };
-        let mut fleet =
-            Processes::start_on(Processes::own_program()?, self.proxies, self.seed, Some(ground)).await?;
+        let mut fleet = Processes::start_on(
+            Processes::own_program()?,
+            (self.proxies, self.proxies),
+            self.seed,
+            Some(ground),
+        )
+        .await?;
         let all: Vec<usize> = (0..self.proxies).collect();
         fleet.until("all found the fleet", PATIENCE, |fleet| fleet.agree(&all)).await;
         installation.begin().await;
@@ -205,8 +210,9 @@
 
 async fn script(path: PathBuf, seed: u64) -> Result<Line, LabError> {
     let script = Script::from_file(&path)?;
-    let mut fleet = Processes::start(Processes::own_program()?, script.proxies, seed).await?;
-    let all: Vec<usize> = (0..script.proxies).collect();
+    let members = (script.proxies, script.founders());
+    let mut fleet = Processes::start_on(Processes::own_program()?, members, seed, None).await?;
+    let all: Vec<usize> = (0..script.founders()).collect();
     fleet.until("all found the fleet", PATIENCE, |fleet| fleet.agree(&all)).await;
     let played = script.play(&mut fleet).await?;
     let faults = script.faults(&played);
--- a/crates/lab/src/processes.rs
+++ b/crates/lab/src/processes.rs
@@ -73,7 +73,7 @@
     /// # Errors
     /// When ports, files or processes cannot be had.
     pub async fn start(program: PathBuf, members: usize, seed: u64) -> Result<Self, LabError> {
-        Self::start_on(program, members, seed, None).await
+        Self::start_on(program, (members, members), seed, None).await
     }
 
     /// This very binary, which is the program as well.
@@ -84,13 +84,13 @@
         Ok(std::env::current_exe()?)
     }
 
-    /// The same with something to serve.
+    /// The same with something to serve, or with some that do not found the fleet: those begin only when they are told to.
     ///
     /// # Errors
     /// As there.
     pub async fn start_on(
         program: PathBuf,
-        members: usize,
+        (members, founders): (usize, usize),
         seed: u64,
         ground: Option<Ground>,
     ) -> Result<Self, LabError> {
@@ -120,20 +120,25 @@
         let told = Arc::default();
         let mut fleet = Self { program, directory, nodes, relays, ground, told, clock: Clock::start() };
         for n in 0..members {
-            fleet.write_files(n, seed)?;
-            fleet.begin(n)?;
+            fleet.write_files(n, founders, seed)?;
         }
+        (0..founders).try_for_each(|n| fleet.begin(n))?;
         Ok(fleet)
     }
 
-    fn write_files(&self, n: usize, seed: u64) -> Result<(), LabError> {
+    fn write_files(&self, n: usize, founders: usize, seed: u64) -> Result<(), LabError> {
         let node = &self.nodes[n];
-        let founders: BTreeMap<&str, String> = (0..self.nodes.len())
-            .map(|other| (self.nodes[other].name.as_str(), self.address(n, other).to_string()))
-            .collect();
+        // Others than founders stand in the file as well: what one of them says of another's place is the relay's for itself.
+        let named = |others: std::ops::Range<usize>| -> BTreeMap<&str, String> {
+            others
+                .map(|other| (self.nodes[other].name.as_str(), self.address(n, other).to_string()))
+                .collect()
+        };
+        let (founders, members) = (named(0..founders), named(founders..self.nodes.len()));
         let key = self.directory.join("key");
         let operator = json!({"peers": {
-            "fleet": "lab", "listen": node.listen.to_string(), "founders": founders, "key_files": [key],
+            "fleet": "lab", "listen": node.listen.to_string(), "founders": founders,
+            "members": members, "key_files": [key],
         }});
         let rate = self.ground.as_ref().map_or(100.0, |ground| ground.rate);
         let mut settings = Spec::sapporo().settings(rate);
@@ -279,12 +284,11 @@
         }
     }
 
-    /// Those hear the others no more, nor the others them.
-    pub fn split(&self, side: &[usize]) {
-        let cut = Link { cut: true, ..Link::default() };
+    /// All links between those and the others, both ways.
+    pub fn between(&self, side: &[usize], link: &Link) {
         for (a, b) in self.relays.keys().filter(|(a, b)| side.contains(a) != side.contains(b)) {
-            self.link(*a, *b, &cut);
-            self.link(*b, *a, &cut);
+            self.link(*a, *b, link);
+            self.link(*b, *a, link);
         }
     }
 
@@ -327,6 +331,31 @@
         Ok((bytes, seconds))
     }
 
+    /// Where a process hears the others itself, without a relay.
+    pub fn listens(&self, n: usize) -> SocketAddr {
+        self.nodes[n].listen
+    }
+
+    /// What a process counts, as its console tells it.
+    ///
+    /// # Errors
+    /// When the console does not answer.
+    pub async fn figures(&self, n: usize) -> Result<String, LabError> {
+        get(self.nodes[n].console, "/admin/stats").await
+    }
+
+    /// What memory a process has taken, in KiB, by the system's count (proc(5)).
+    ///
+    /// # Errors
+    /// When it does not run.
+    pub fn memory(&self, n: usize) -> Result<u64, LabError> {
+        let child = self.nodes[n].child.as_ref().ok_or(LabError::Ended)?;
+        let text = std::fs::read_to_string(format!("/proc/{}/status", child.id()))?;
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let size = line.and_then(|line| line.split_whitespace().next());
+        size.and_then(|size| size.parse().ok()).ok_or(LabError::Ended)
+    }
+
     /// The present, on the history's clock.
     pub fn now(&self) -> i64 {
         self.clock.now()
--- a/crates/lab/src/trouble.rs
+++ b/crates/lab/src/trouble.rs
@@ -10,6 +10,7 @@
 use std::path::Path;
 use std::time::Duration;
 use tokio::time::{sleep_until, Instant};
+use wheelpier::membership::post::VERSION;
 use wheelpier_standin::link::Link;
 use wheelpier_standin::{MS, SECOND};
 
@@ -19,8 +20,10 @@
 pub struct Script {
     /// What it shows, in a sentence.
     pub about: String,
-    /// So many processes, all of which found the fleet; they are numbered from 0.
+    /// So many processes; they are numbered from 0.
     pub proxies: usize,
+    /// So many of them found the fleet, the first; all, where nothing is said. The others begin as the steps say.
+    pub founders: Option<usize>,
     /// What happens, in its order.
     pub steps: Vec<Step>,
     /// How long it is watched, from its beginning.
@@ -63,7 +66,9 @@
     Mute(usize),
     /// Those hear the others no more, nor the others them.
     Split(Vec<usize>),
-    /// All links are so.
+    /// Those speak another version of the protocol than the others.
+    OtherVersion(Vec<usize>),
+    /// All links are so. Virtual time has no post, which drops what is replayed: there it does not happen.
     Links(Link),
     /// All links of one process are so, both ways.
     LinksOf(LinksOf),
@@ -116,9 +121,14 @@
         }
     }
 
+    /// So many found the fleet.
+    pub fn founders(&self) -> usize {
+        self.founders.unwrap_or(self.proxies)
+    }
+
     /// Those that run at its end.
     pub fn living(&self) -> Vec<usize> {
-        let mut living: BTreeSet<usize> = (0..self.proxies).collect();
+        let mut living: BTreeSet<usize> = (0..self.founders()).collect();
         for step in &self.steps {
             match &step.what {
                 Action::Kill(n) | Action::Leave(n) => _ = living.remove(n),
@@ -159,7 +169,7 @@
 
     /// Plays it in virtual time.
     pub fn play_virtually(&self, seed: u64) -> Played {
-        let mut fleet = Fleet::recorded(self.proxies, seed);
+        let mut fleet = Fleet::recorded(self.proxies, self.founders(), seed);
         fleet.settles_within(60 * SECOND);
         fleet.until(fleet.now + 2 * SECOND);
         let steps = self.steps.iter().flat_map(|step| {
@@ -228,7 +238,7 @@
             Self::Pause(pause) => vec![pause.process],
             Self::LinksOf(links) => vec![links.process],
             Self::Cut(a, b) => vec![*a, *b],
-            Self::Split(side) => side.clone(),
+            Self::Split(side) | Self::OtherVersion(side) => side.clone(),
             Self::Links(_) | Self::Heal(_) => Vec::new(),
         }
     }
@@ -243,7 +253,7 @@
             Self::Mute(n) => {
                 (0..proxies).filter(|other| other != n).map(|other| Trouble::Cut(*n, other)).collect()
             }
-            Self::Split(side) => vec![Trouble::Split(side.clone())],
+            Self::Split(side) | Self::OtherVersion(side) => vec![Trouble::Split(side.clone())],
             Self::Links(link) => vec![Trouble::Links(link.clone())],
             Self::LinksOf(of) => vec![Trouble::LinksOf(of.process, of.link.clone())],
             Self::Heal(_) => vec![Trouble::Heal],
@@ -277,7 +287,11 @@
                 Action::Leave(n) => fleet.ask_to_leave(n),
                 Action::Cut(a, b) => fleet.link(a, b, &cut),
                 Action::Mute(n) => fleet.others(n).for_each(|other| fleet.link(n, other, &cut)),
-                Action::Split(side) => fleet.split(&side),
+                Action::Split(side) => fleet.between(&side, &cut),
+                Action::OtherVersion(side) => {
+                    let version = Some(VERSION + 1);
+                    fleet.between(&side, &Link { version, ..Link::default() });
+                }
                 Action::Links(link) => fleet.links(&link),
                 Action::LinksOf(of) => fleet.others(of.process).for_each(|other| {
                     fleet.link(of.process, other, &of.link);
@@ -298,6 +312,7 @@
         Script {
             about: String::new(),
             proxies: 3,
+            founders: None,
             steps: vec![Step { at_ms: 0, what: Action::Kill(1) }, Step { at_ms: 1, what: Action::Leave(2) }],
             watched_ms: 0,
             may_be_out: may_be_out.iter().copied().collect(),
--- /dev/null
+++ b/crates/lab/tests/hostile.rs
@@ -0,0 +1,92 @@
+//! A member under a million messages that are no good: recorded, mutated, forged, too long, too short. Outside CI:
+//! `cargo test --release -p wheelpier-lab --test hostile -- --ignored --nocapture`.
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::path::PathBuf;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use wheelpier::membership::advice;
+use wheelpier::membership::member::Message;
+use wheelpier::membership::post::{Book, Key, Post, Seal};
+use wheelpier::membership::{Identity, Name};
+use wheelpier::Time;
+use wheelpier_lab::processes::Processes;
+
+const MESSAGES: u64 = 1_000_000;
+const PATIENCE: Duration = Duration::from_secs(40);
+
+/// Messages as a process that has the fleet's key, and one that has not, would write them.
+fn recorded(address: std::net::SocketAddr) -> Vec<Vec<u8>> {
+    let target: Name = "p0".into();
+    let mut all = Vec::new();
+    for (n, (key, fleet)) in [("5e", "lab"), ("5f", "lab"), ("5e", "another")].into_iter().enumerate() {
+        let seal = Seal::new(fleet, &Key::read(&key.repeat(32)).unwrap(), None);
+        let book = Book::new([(Name::clone(&target), address)].into());
+        let me = Identity::new("p1", 99 + n as u64);
+        let mut post = Post::new(me.name.clone(), seal, book, n as u64);
+        for number in 0..50 {
+            let whom = Identity { name: Name::clone(&target), life: 0 };
+            let probe = Message::Advice(advice::Message::Probe { number, news: Vec::new() });
+            for message in [probe, Message::Hello, Message::Stuck, Message::Leaving] {
+                all.extend(post.send(Time(0), &me, &whom, message).unwrap().into_iter().map(|p| p.bytes));
+            }
+        }
+    }
+    all
+}
+
+fn mutated(mut bytes: Vec<u8>, random: &mut ChaCha8Rng) -> Vec<u8> {
+    match random.random_range(0..6) {
+        0 => {}
+        1 => bytes.truncate(random.random_range(0..bytes.len())),
+        2 => bytes.extend(std::iter::repeat_n(7, random.random_range(0..2_000))),
+        3 => bytes.iter_mut().for_each(|byte| *byte = random.random()),
+        _ => {
+            for _ in 0..random.random_range(1..4) {
+                let at = random.random_range(0..bytes.len());
+                bytes[at] ^= 1 << random.random_range(0..8);
+            }
+        }
+    }
+    bytes
+}
+
+#[tokio::test]
+#[ignore = "a million messages: outside CI"]
+async fn a_million_messages_that_are_no_good_change_nothing() {
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_wheelpier-lab"));
+    let fleet = Processes::start(program, 3, 7).await.unwrap();
+    fleet.until("all found the fleet", PATIENCE, |fleet| fleet.agree(&[0, 1, 2])).await;
+    let (view, before) = (fleet.stands(0).0, fleet.memory(0).unwrap());
+    let (address, mut random) = (fleet.listens(0), ChaCha8Rng::seed_from_u64(7));
+    let messages = recorded(address);
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let mut half = 0;
+    for n in 0..MESSAGES {
+        let bytes = mutated(messages[random.random_range(0..messages.len())].clone(), &mut random);
+        let _ = socket.send_to(&bytes, address).await;
+        if n % 64 == 0 {
+            // As fast as they are taken, not as they are dropped by the system.
+            tokio::time::sleep(Duration::from_micros(500)).await;
+        }
+        if n == MESSAGES / 2 {
+            half = fleet.memory(0).unwrap();
+        }
+    }
+    let after = fleet.memory(0).unwrap();
+    let figures = fleet.figures(0).await.unwrap();
+    let taken: Vec<&str> = figures.lines().filter(|line| line.contains("fleet.")).collect();
+    println!("memory {before} KiB before, {half} after half, {after} after all\n{}", taken.join("\n"));
+    assert!(fleet.agree(&[0, 1, 2]), "{}", fleet.last_words());
+    assert_eq!(fleet.stands(0).0, view, "no view has changed");
+    let dropped = |cause: &str| {
+        let line = figures.lines().find_map(|line| line.strip_prefix(&format!("gw.fleet.dropped.{cause}=")));
+        line.and_then(|count| count.parse::<u64>().ok()).unwrap_or(0)
+    };
+    for cause in ["garbage", "forged", "fleet", "unproved", "oversized", "version"] {
+        assert!(dropped(cause) > 0, "{cause}: none came through");
+    }
+    // Whoever is remembered is so in bounded room: the second half of it costs nothing more.
+    assert!(after < half + 1_024, "{half} KiB after half, {after} KiB after all");
+}
--- a/crates/lab/tests/members.rs
+++ b/crates/lab/tests/members.rs
@@ -197,3 +197,26 @@
     fleet.play(Vec::new(), 60 * SECOND);
     assert_eq!(fleet.epoch(), epoch);
 }
+
+/// The member whose turn it is to propose stands still, at each moment of a ballot and of what leads to it.
+#[test]
+fn a_proposer_that_stands_still_at_any_step_holds_nobody_up() {
+    for ms in (0..3_000).step_by(10) {
+        let mut fleet = Fleet::founded(5, false, 1_000 + ms as u64);
+        fleet.play(vec![(0, Trouble::Kill(4)), (ms * MS, Trouble::Pause(0, 5_000 * MS))], 9 * SECOND);
+        fleet.settles_within(30 * SECOND);
+        assert!(fleet.settled().is_some_and(|view| view.members.len() == 4), "{ms} ms");
+    }
+}
+
+/// One member says of all others that it does not hear them and that they are gone: nobody goes for one voice.
+#[test]
+fn a_member_that_lies_about_the_others_puts_nobody_out() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::founded(5, false, seed);
+        let epoch = fleet.epoch();
+        fleet.play(vec![(0, Trouble::Lies(seed as usize % 5))], 30 * SECOND);
+        assert_eq!(fleet.epoch(), epoch, "seed {seed}");
+        fleet.settles_within(SECOND);
+    }
+}
--- a/crates/lab/tests/processes.rs
+++ b/crates/lab/tests/processes.rs
@@ -12,10 +12,10 @@
 /// On a busy machine all takes longer.
 const PATIENCE: Duration = Duration::from_secs(40);
 
-async fn founded(members: usize, seed: u64) -> Processes {
+async fn founded(members: usize, founders: usize, seed: u64) -> Processes {
     let program = PathBuf::from(env!("CARGO_BIN_EXE_wheelpier-lab"));
-    let fleet = Processes::start(program, members, seed).await.unwrap();
-    let all: Vec<usize> = (0..members).collect();
+    let fleet = Processes::start_on(program, (members, founders), seed, None).await.unwrap();
+    let all: Vec<usize> = (0..founders).collect();
     fleet.until("all found the fleet", PATIENCE, |fleet| fleet.agree(&all)).await;
     fleet
 }
@@ -25,7 +25,7 @@
 async fn every_script_ends_as_it_says_on_processes(#[files("fleets/*.yaml")] path: PathBuf) {
     let script = Script::from_file(&path).unwrap();
     let seed = 7;
-    let mut fleet = founded(script.proxies, seed).await;
+    let mut fleet = founded(script.proxies, script.founders(), seed).await;
     let played = script.play(&mut fleet).await.unwrap();
     let faults = script.faults(&played);
     assert!(faults.is_empty(), "{} with seed {seed}: {faults:#?}\n{}", path.display(), fleet.last_words());
@@ -34,7 +34,7 @@
 /// What a person sees: the causes of a death and of a leave.
 #[tokio::test]
 async fn the_history_tells_a_death_from_a_leave() {
-    let mut fleet = founded(4, 8).await;
+    let mut fleet = founded(4, 4, 8).await;
     assert!(fleet.leave(2, PATIENCE).await, "{}", fleet.last_words());
     fleet.until("three go on", PATIENCE, |fleet| fleet.agree(&[0, 1, 3])).await;
     fleet.kill(1);
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -5,6 +5,7 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use serde::Deserialize;
+use std::collections::VecDeque;
 
 /// How a direction is. Parts are of 1.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -18,6 +19,10 @@
     pub doubled: f64,
     /// Part of which the end is missing.
     pub truncated: f64,
+    /// Part after which an earlier one, of the last 64, comes once more.
+    pub replayed: f64,
+    /// The version of the peers' protocol that each seems to be of, whichever it is.
+    pub version: Option<u8>,
     /// What each takes at least, in milliseconds.
     pub delay_ms: f64,
     /// The mean of what comes on top, in milliseconds, with a long tail: one in a hundred takes almost five times as long.
@@ -27,7 +32,16 @@
 impl Default for Link {
     /// A link that is well.
     fn default() -> Self {
-        Self { cut: false, loss: 0.0, doubled: 0.0, truncated: 0.0, delay_ms: 0.0, tail_ms: 0.0 }
+        Self {
+            cut: false,
+            loss: 0.0,
+            doubled: 0.0,
+            truncated: 0.0,
+            replayed: 0.0,
+            version: None,
+            delay_ms: 0.0,
+            tail_ms: 0.0,
+        }
     }
 }
 
@@ -58,6 +72,34 @@
     }
 }
 
+/// What went over a link lately, to come once more.
+#[derive(Debug, Default)]
+pub struct Recording {
+    last: VecDeque<Vec<u8>>,
+}
+
+/// So many messages are recorded.
+const RECORDED: usize = 64;
+/// Where a message of the peers' protocol has its version (`docs/protocol/peers.md`).
+const VERSION_AT: usize = 3;
+
+impl Recording {
+    /// A message goes over the link: as it comes out, and an earlier one if one is to come once more.
+    pub fn pass(&mut self, link: &Link, bytes: &[u8], random: &mut ChaCha8Rng) -> (Vec<u8>, Option<Vec<u8>>) {
+        let mut bytes = bytes.to_vec();
+        if let (Some(version), Some(byte)) = (link.version, bytes.get_mut(VERSION_AT)) {
+            *byte = version;
+        }
+        let again = luck(link.replayed, random) && !self.last.is_empty();
+        let again = again.then(|| self.last[random.random_range(0..self.last.len())].clone());
+        if link.replayed > 0.0 {
+            self.last.truncate(RECORDED - 1);
+            self.last.push_front(bytes.clone());
+        }
+        (bytes, again)
+    }
+}
+
 fn luck(part: f64, random: &mut ChaCha8Rng) -> bool {
     part > 0.0 && random.random_bool(part.min(1.0))
 }
@@ -90,6 +132,20 @@
         assert!((2_450..2_850).contains(&short), "{short}");
     }
 
+    #[test]
+    fn what_was_recorded_comes_once_more_and_a_version_is_written_over() {
+        let (mut random, mut recording) = (ChaCha8Rng::seed_from_u64(7), Recording::default());
+        let link = Link { replayed: 0.5, version: Some(9), ..Link::default() };
+        let mut again = 0;
+        for n in 0..200u8 {
+            let (bytes, earlier) = recording.pass(&link, &[b'w', b'p', b'p', 1, n], &mut random);
+            assert_eq!(bytes, [b'w', b'p', b'p', 9, n]);
+            again += usize::from(earlier.is_some_and(|earlier| earlier[3] == 9 && earlier[4] < n));
+        }
+        assert!((80..120).contains(&again), "{again}");
+        assert_eq!(recording.pass(&Link::default(), &[1, 2], &mut random), (vec![1, 2], None));
+    }
+
     #[test]
     fn delays_have_a_least_and_a_long_tail_and_the_same_seed_gives_the_same() {
         let link = Link { delay_ms: 300.0, tail_ms: 100.0, ..Link::default() };
--- a/crates/standin/src/net/relay.rs
+++ b/crates/standin/src/net/relay.rs
@@ -1,7 +1,7 @@
 //! A relay between two processes: datagrams and streams, each direction by itself. Each process is given the relay's address
 //! for the other one, and hears it from there, so neither knows where the other one really is.
 
-use crate::link::Link;
+use crate::link::{Link, Recording};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::io;
@@ -89,13 +89,15 @@
     seed: u64,
 ) -> JoinHandle<()> {
     tokio::spawn(async move {
-        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let (mut random, mut recording) = (ChaCha8Rng::seed_from_u64(seed), Recording::default());
         let mut room = vec![0; LONGEST];
         loop {
             // A receiver that is not there shows as an error here: it may be there soon.
             let Ok((length, _)) = from.recv_from(&mut room).await else { continue };
-            for copy in link(&way).carry(length, &mut random) {
-                let (bytes, out) = (room[..copy.bytes].to_vec(), Arc::clone(&out));
+            let link = link(&way);
+            let (bytes, earlier) = recording.pass(&link, &room[..length], &mut random);
+            for copy in link.carry(length, &mut random) {
+                let (bytes, out) = (bytes[..copy.bytes].to_vec(), Arc::clone(&out));
                 if copy.after == 0 {
                     let _ = out.try_send_to(&bytes, to);
                 } else {
@@ -105,17 +107,20 @@
                     });
                 }
             }
+            if let Some(earlier) = earlier.filter(|_| !link.cut) {
+                let _ = out.try_send_to(&earlier, to);
+            }
         }
     })
 }
 
-/// A stream needs both directions: one that is cut, or loses this one, ends it; delays count once.
+/// A stream needs both directions: one that is cut, or of another version, ends it; delays count once.
 fn streams(listener: TcpListener, to: SocketAddr, ways: [Arc<Mutex<Link>>; 2]) -> JoinHandle<()> {
     tokio::spawn(async move {
         loop {
             let Ok((mut near, _)) = listener.accept().await else { continue };
             let links = [link(&ways[0]), link(&ways[1])];
-            if links.iter().any(|link| link.cut) {
+            if links.iter().any(|link| link.cut || link.version.is_some()) {
                 continue;
             }
             let delay = links.iter().map(|link| link.delay_ms.max(0.0)).sum::<f64>();
--- a/tests/sockets/fleet.rs
+++ b/tests/sockets/fleet.rs
@@ -3,7 +3,9 @@
 use crate::scenario::{settings, Program};
 use serde_json::{json, Value};
 use std::collections::BTreeSet;
+use std::net::TcpListener;
 use std::path::PathBuf;
+use std::process::Command;
 
 /// The inodes of a process's sockets.
 fn sockets(pid: u32) -> BTreeSet<String> {
@@ -57,6 +59,40 @@
     program.log("change n0# LeaseHeld");
 }
 
+#[test]
+fn status_asks_the_console_and_says_by_its_exit_whether_the_proxy_may_act() {
+    let console = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
+    let mut with_console: Value = serde_json::from_str(&config(true)).unwrap();
+    with_console["console"] = json!(console);
+    let status = |more: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_wheelpier"));
+        command.args(["fleet", "status", "--console", &console]).args(more).output().unwrap()
+    };
+    let nobody = status(&[]);
+    assert_eq!(nobody.status.code(), Some(1), "nobody is there");
+    assert_eq!(String::from_utf8_lossy(&nobody.stderr).lines().count(), 1);
+
+    let with_console = with_console.to_string();
+    let program = Program::start_with(&with_console, "127.0.0.1:0", "127.0.0.1:9", Some(&peers()));
+    program.log("change n0# LeaseHeld");
+    let page = status(&[]);
+    let text = String::from_utf8(page.stdout).unwrap();
+    assert_eq!(page.status.code(), Some(0), "{text}");
+    assert!(text.starts_with("fleet f, view 1, as n0#") && text.contains("founded the fleet"), "{text}");
+    let fleet: Value = serde_json::from_slice(&status(&["--json"]).stdout).unwrap();
+    assert_eq!(
+        (&fleet["epoch"], &fleet["member"], &fleet["fenced"]),
+        (&json!(1), &json!(true), &json!(false))
+    );
+    drop(program);
+
+    let alone = Program::start_with(&with_console, "127.0.0.1:0", "127.0.0.1:9", None);
+    alone.log("console listens");
+    let no_fleet = status(&[]);
+    let told = String::from_utf8(no_fleet.stderr).unwrap();
+    assert!(no_fleet.status.code() == Some(1) && told.contains("of no fleet"), "{told}");
+}
+
 #[test]
 fn where_the_platform_forbids_peers_the_start_ends_with_one_line() {
     let mut program = Program::start_with(&config(false), "127.0.0.1:0", "127.0.0.1:9", Some(&peers()));
