--- a/src/net/peers/mod.rs
+++ b/src/net/peers/mod.rs
@@ -65,8 +65,16 @@
 pub(crate) fn start(station: Station, start: Start) -> io::Result<(Questions, tokio::task::JoinHandle<()>)> {
     let (questions, asked) = mpsc::channel(QUESTIONS);
     let actor = Actor::new(&station, &start)?;
-    let run = actor.run(station, asked, start.draining);
-    Ok((questions, tokio::spawn(run)))
+    let run = tokio::spawn(actor.run(station, asked, start.draining));
+    let tally = start.tally;
+    // A proxy without its fleet serves on: it is out of it, and says so.
+    let watched = async move {
+        if let Err(problem) = run.await {
+            tally.stands(0, 0, true);
+            tracing::error!("this proxy goes on without its fleet: {problem}");
+        }
+    };
+    Ok((questions, tokio::spawn(watched)))
 }
 
 struct Actor {
