--- a/crates/decisions/src/membership/member.rs
+++ b/crates/decisions/src/membership/member.rs
@@ -489,9 +489,13 @@
 
     /// A voter hears others than it said last: what follows from that need not wait for the next look.
     fn told_anew(&mut self, now: Time, from: &Identity, before: Option<Row>, out: &mut Vec<Output>) {
-        let hears = |row: &Row| (row.epoch, row.hears.clone());
-        let row = self.rows.get(from).map(|(row, _)| hears(row));
-        if before.as_ref().map(hears) != row && self.rows.contains_key(&self.me) {
+        // Of the voters alone, and under one view: what comes right after a view, and of the others, is looked at together.
+        let voters = self.agreement.view().electors().len();
+        let row = self.rows.get(from).map(|(row, _)| row);
+        let differs = before.zip(row).is_some_and(|(before, row)| {
+            before.epoch == row.epoch && before.hears.iter().take(voters).ne(row.hears.iter().take(voters))
+        });
+        if differs && self.rows.contains_key(&self.me) {
             let view = self.agreement.view().clone();
             self.steer(now, &view, out);
         }
