--- a/crates/lab/tests/members.rs
+++ b/crates/lab/tests/members.rs
@@ -220,3 +220,10 @@
         fleet.settles_within(SECOND);
     }
 }
+
+/// Rows of a new view come one by one: to look at each by itself made a view for each few comers, and each goes to all.
+#[test]
+fn many_comers_are_let_in_by_few_views() {
+    let fleet = Fleet::founded(300, false, 7);
+    assert!(fleet.epoch() <= 8, "{} views", fleet.epoch());
+}
