--- a/crates/decisions/src/membership/chronicle.rs
+++ b/crates/decisions/src/membership/chronicle.rs
@@ -102,11 +102,14 @@
     pub changes: Vec<Changed>,
 }
 
+/// A change as it is told: the view's number since, whom it is about, and why.
+pub type Told = (u64, String, Cause);
+
 /// What changed, and when.
 #[derive(Clone, Debug)]
 pub struct Chronicle {
     view: View,
-    changes: VecDeque<(Time, u64, String, Cause)>,
+    changes: VecDeque<(Time, Told)>,
     /// What was thought last of those who may be out by now.
     thought: BTreeMap<Identity, Opinion>,
     /// Who is out and was not yet told to be free.
@@ -121,7 +124,7 @@
 
 impl Chronicle {
     /// Takes in what a member puts out; what is new comes back, for the log.
-    pub fn note(&mut self, now: Time, me: &Identity, output: &Output) -> Vec<(u64, String, Cause)> {
+    pub fn note(&mut self, now: Time, me: &Identity, output: &Output) -> Vec<Told> {
         let news = match output {
             Output::Advised(who, opinion) => {
                 self.thought.insert(who.clone(), *opinion);
@@ -133,16 +136,19 @@
             Output::Stood(_) => vec![(self.view.epoch, me.to_string(), Cause::Stood)],
             _ => Vec::new(),
         };
-        for (epoch, who, cause) in &news {
-            self.changes.push_front((now, *epoch, who.clone(), *cause));
-        }
+        self.remember(now, news)
+    }
+
+    fn remember(&mut self, now: Time, news: Vec<Told>) -> Vec<Told> {
+        news.iter().for_each(|told| self.changes.push_front((now, told.clone())));
         self.changes.truncate(MOST_CHANGES);
         news
     }
 
-    fn view_changed(&mut self, view: &View) -> Vec<(u64, String, Cause)> {
+    fn view_changed(&mut self, view: &View) -> Vec<Told> {
         let old = std::mem::replace(&mut self.view, view.clone());
-        let gone = old.members.iter().filter(|m| m.life > 0 && !view.members.contains(m)).map(|m| {
+        let out = || old.members.iter().filter(|m| m.life > 0 && !view.members.contains(m));
+        let gone = out().map(|m| {
             let cause = match self.thought.get(m) {
                 Some(Opinion::Left) => Cause::Left,
                 _ if view.named(&m.name).is_some() => Cause::Replaced,
@@ -155,25 +161,22 @@
         let come = view.members.iter().filter(|m| !old.members.contains(m));
         let news = gone.chain(come.map(|m| (view.epoch, m.to_string(), first))).collect();
         self.thought.retain(|who, _| view.contains(who));
-        self.out.extend(old.members.iter().filter(|m| m.life > 0 && !view.members.contains(m)).cloned());
+        self.out.extend(out().cloned());
         // Whoever is left over from long ago is told of no more.
         self.out.drain(..self.out.len().saturating_sub(MOST_CHANGES));
         news
     }
 
-    /// Lives that became free to be replaced since it was asked last.
-    pub fn freed(&mut self, now: Time, agreement: &Agreement) -> Vec<Identity> {
+    /// Lives that became free to be replaced since it was asked last, as [`Self::note`] tells changes.
+    pub fn freed(&mut self, now: Time, agreement: &Agreement) -> Vec<Told> {
         if self.out.is_empty() {
             return Vec::new();
         }
-        let (freed, out) = self.out.drain(..).partition(|who| agreement.free(who, now));
+        let (freed, out): (Vec<_>, Vec<_>) = self.out.drain(..).partition(|who| agreement.free(who, now));
         self.out = out;
-        for who in &freed {
-            let change = (now, agreement.view().epoch, ToString::to_string(who), Cause::Free);
-            self.changes.push_front(change);
-        }
-        self.changes.truncate(MOST_CHANGES);
-        freed
+        let epoch = agreement.view().epoch;
+        let news = freed.iter().map(|who| (epoch, who.to_string(), Cause::Free)).collect();
+        self.remember(now, news)
     }
 
     /// The fleet as that member knows it at that moment.
@@ -201,7 +204,7 @@
     }
 }
 
-fn changed(now: Time, (at, epoch, who, cause): &(Time, u64, String, Cause)) -> Changed {
+fn changed(now: Time, (at, (epoch, who, cause)): &(Time, Told)) -> Changed {
     Changed { ms_ago: (now.0 - at.0) / 1_000, epoch: *epoch, who: who.clone(), cause: *cause }
 }
 
@@ -272,6 +275,6 @@
             note(&mut chronicle, Output::Agreed(Event::Unfenced));
         }
         assert_eq!(chronicle.changes.len(), MOST_CHANGES);
-        assert_eq!(chronicle.changes[0].3, Cause::LeaseHeld);
+        assert_eq!(chronicle.changes[0].1 .2, Cause::LeaseHeld);
     }
 }
--- a/crates/decisions/src/membership/member.rs
+++ b/crates/decisions/src/membership/member.rs
@@ -121,7 +121,7 @@
     pub fn new(me: Identity, rules: Rules, kept: Durable, seed: u64, now: Time) -> Self {
         let agreement = Agreement::new(me.clone(), rules.terms, &rules.seeds, kept, now);
         let advice = Advice::new(me.clone(), rules.tempo, seed, now);
-        let ballot = rules.terms.ballot;
+        let offers_at = Time(now.0 + rules.terms.ballot);
         Self {
             me,
             rules,
@@ -141,7 +141,7 @@
             told_twin: false,
             leaving: false,
             offered: false,
-            offers_at: Time(now.0 + ballot),
+            offers_at,
             in_since: Time(i64::MIN / 2),
             alone_since: None,
             apart: false,
--- a/crates/decisions/src/membership/post/book.rs
+++ b/crates/decisions/src/membership/post/book.rs
@@ -25,9 +25,8 @@
 
     /// A message of that life has come from there.
     pub fn seen(&mut self, who: &Identity, address: SocketAddr, now: Time) {
-        if !self.seen.contains_key(who) && self.seen.len() >= MOST {
-            let oldest = self.seen.iter().min_by_key(|(_, (_, at))| *at).map(|(who, _)| who.clone());
-            oldest.map(|who| self.seen.remove(&who));
+        if !self.seen.contains_key(who) {
+            super::make_room(&mut self.seen, MOST, |(_, at)| *at);
         }
         self.seen.insert(who.clone(), (address, now));
     }
--- a/crates/decisions/src/membership/post/mod.rs
+++ b/crates/decisions/src/membership/post/mod.rs
@@ -325,10 +325,7 @@
             return Err(Dropped::Unproved);
         }
         let address = source.or_else(|| self.book.address(&from)).ok_or(Dropped::Unproved)?;
-        if self.asked.len() >= MOST_ASKED {
-            let oldest = self.asked.iter().min_by_key(|(_, asked)| asked.at).map(|(who, _)| who.clone());
-            oldest.map(|who| self.asked.remove(&who));
-        }
+        make_room(&mut self.asked, MOST_ASKED, |asked| asked.at);
         let nonce = self.random.random();
         let held = match letter {
             Letter::Member(message) => Some((from.clone(), message)),
@@ -352,10 +349,7 @@
             return Err(Dropped::Replayed);
         }
         let held = self.asked.remove(&process).and_then(|asked| asked.held);
-        if self.known.len() >= MOST_KNOWN {
-            let oldest = self.known.iter().min_by_key(|(_, known)| known.heard).map(|(who, _)| who.clone());
-            oldest.map(|who| self.known.remove(&who));
-        }
+        make_room(&mut self.known, MOST_KNOWN, |known| known.heard);
         self.known.insert(process, Known { window: Window::from(number), heard: now });
         if let Some(address) = source {
             self.book.seen(&from, address, now);
@@ -364,6 +358,14 @@
     }
 }
 
+/// Where there are as many as may be, the one with the earliest moment goes for the next.
+fn make_room<K: Ord + Clone, V>(all: &mut BTreeMap<K, V>, most: usize, at: impl Fn(&V) -> Time) {
+    if all.len() >= most {
+        let oldest = all.iter().min_by_key(|(_, one)| at(one)).map(|(key, _)| key.clone());
+        oldest.map(|key| all.remove(&key));
+    }
+}
+
 /// The process of that name, whichever life it is: of processes, not of members.
 fn any(who: &Identity) -> Identity {
     Identity { life: 0, ..who.clone() }
--- a/crates/decisions/src/membership/steward.rs
+++ b/crates/decisions/src/membership/steward.rs
@@ -68,20 +68,23 @@
 /// How many voters say that they hear the member in that place. A voter hears itself.
 fn voices(view: &View, rows: &BTreeMap<Identity, Row>, place: usize, member: &Identity) -> usize {
     let hears = |voter: &&Identity| {
-        let row = rows.get(*voter).filter(|row| row.epoch == view.epoch);
-        row.is_some_and(|row| *voter == member || row.hears.get(place) == Some(&true))
+        spoken(view, rows, voter).is_some_and(|row| *voter == member || row.hears.get(place) == Some(&true))
     };
     view.electors().iter().filter(hears).count()
 }
 
+/// What a voter has said under this view.
+fn spoken<'a>(view: &View, rows: &'a BTreeMap<Identity, Row>, voter: &Identity) -> Option<&'a Row> {
+    rows.get(voter).filter(|row| row.epoch == view.epoch)
+}
+
 /// Whom most voters do not hear, as far as a voter can tell: one that it hears itself, and that has yet to speak under this
 /// view, may hear everybody.
 pub fn unheard_by_most(view: &View, me: &Identity, rows: &BTreeMap<Identity, Row>) -> BTreeSet<Identity> {
-    let own = rows.get(me).filter(|row| row.epoch == view.epoch);
-    let speaks = |voter: &Identity| rows.get(voter).is_some_and(|row| row.epoch == view.epoch);
+    let own = spoken(view, rows, me);
     let voters = view.electors().iter().enumerate();
     let silent = voters.filter(|(place, voter)| {
-        !speaks(voter) && own.is_some_and(|own| own.hears.get(*place) == Some(&true))
+        spoken(view, rows, voter).is_none() && own.is_some_and(|own| own.hears.get(*place) == Some(&true))
     });
     let silent = silent.count();
     let members = view.members.iter().enumerate();
@@ -96,14 +99,14 @@
     let own = rows.get(me)?;
     view.electors().iter().enumerate().find_map(|(place, voter)| {
         let heard = own.hears.get(place) == Some(&true);
-        let able = rows.get(voter).is_some_and(|row| row.epoch == view.epoch && !row.fenced);
+        let able = spoken(view, rows, voter).is_some_and(|row| !row.fenced);
         (voter == me || (heard && able)).then_some(voter)
     })
 }
 
 /// Whether enough voters have spoken for the rows to say anything: without most of them nobody would be heard by most.
 pub fn most_speak(view: &View, rows: &BTreeMap<Identity, Row>) -> bool {
-    let speaks = |voter: &&Identity| rows.get(*voter).is_some_and(|row| row.epoch == view.epoch);
+    let speaks = |voter: &&Identity| spoken(view, rows, voter).is_some();
     view.electors().iter().filter(speaks).count() >= view.quorum()
 }
 
--- a/crates/lab/src/members.rs
+++ b/crates/lab/src/members.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use wheelpier_decisions::membership::advice::{self, News, Opinion, Tempo};
 use wheelpier_decisions::membership::agreement::{Durable, Event};
-use wheelpier_decisions::membership::chronicle::{Cause, Chronicle};
+use wheelpier_decisions::membership::chronicle::{Chronicle, Told};
 use wheelpier_decisions::membership::member::{Member, Message, Output, Rules};
 use wheelpier_decisions::membership::steward::Row;
 use wheelpier_decisions::membership::{Identity, Name, Terms, View};
@@ -107,15 +107,29 @@
     pub known: BTreeMap<(u64, usize), i64>,
 }
 
-fn what((epoch, who, cause): (u64, String, Cause), lease_until: i64) -> What {
+fn what((epoch, who, cause): Told, lease_until: i64) -> What {
     What::Change { epoch, who, cause: format!("{cause:?}"), lease_until }
 }
 
 impl Fleet {
     /// So many members, of which the first are the seeds; `keeps` says whether they have disks. All start at once.
     pub fn new(members: usize, seeds: usize, keeps: bool, seed: u64) -> Self {
+        let mut fleet = Self::unstarted(members, seeds, keeps, seed);
+        (0..members).for_each(|n| fleet.start(n));
+        fleet
+    }
+
+    /// So many members without disks, of which a history is kept; the first are the seeds, and the others begin when they
+    /// are told to.
+    pub fn recorded(members: usize, seeds: usize, seed: u64) -> Self {
+        let mut fleet = Self { records: true, ..Self::unstarted(members, seeds, false, seed) };
+        (0..seeds).for_each(|n| fleet.start(n));
+        fleet
+    }
+
+    fn unstarted(members: usize, seeds: usize, keeps: bool, seed: u64) -> Self {
         let names: Vec<Name> = (0..members).map(|n| format!("p{n:03}").as_str().into()).collect();
-        let mut fleet = Self {
+        Self {
             now: 0,
             seeds: names[..seeds].to_vec(),
             names,
@@ -141,21 +155,7 @@
             messages: 0,
             left: BTreeSet::new(),
             known: BTreeMap::new(),
-        };
-        (0..members).for_each(|n| fleet.start(n));
-        fleet
-    }
-
-    /// So many members without disks, of which a history is kept; the first are the seeds, and the others begin when they
-    /// are told to.
-    pub fn recorded(members: usize, seeds: usize, seed: u64) -> Self {
-        let mut fleet = Self::new(0, 0, false, seed);
-        fleet.names = (0..members).map(|n| format!("p{n:03}").as_str().into()).collect();
-        fleet.seeds = fleet.names[..seeds].to_vec();
-        fleet.nodes = (0..members).map(|_| None).collect();
-        fleet.records = true;
-        (0..seeds).for_each(|n| fleet.start(n));
-        fleet
+        }
     }
 
     fn start(&mut self, n: usize) {
@@ -246,11 +246,10 @@
         let Some(node) = self.nodes[n].as_mut() else { return };
         let (local, me) = (Self::local(node, self.now), node.member.me().to_string());
         let freed = node.chronicle.freed(local, node.member.agreement());
-        let epoch = node.member.agreement().view().epoch;
-        for who in freed {
-            let what = what((epoch, who.to_string(), Cause::Free), 0);
-            self.history.push(Said { at: self.now, process: n, me: me.clone(), what });
-        }
+        let at = self.now;
+        let said =
+            freed.into_iter().map(|change| Said { at, process: n, me: me.clone(), what: what(change, 0) });
+        self.history.extend(said);
     }
 
     fn did(&mut self, n: usize, what: &'static str) {
--- a/src/net/peers/mod.rs
+++ b/src/net/peers/mod.rs
@@ -224,8 +224,8 @@
 
     fn freed(&mut self) {
         let now = self.clock.now();
-        for who in self.chronicle.freed(now, self.member.agreement()) {
-            self.tell(now, self.member.agreement().view().epoch, &who.to_string(), Cause::Free);
+        for (epoch, who, cause) in self.chronicle.freed(now, self.member.agreement()) {
+            self.tell(now, epoch, &who, cause);
         }
     }
 
