Name a refusal's reason where it is found, and drop what the laboratory wrote twice

Arrivals and the door tested a condition a second time to name its reason. The laboratory had its own call to a console, its own list of who was put out (twice), a flag that nothing read, and counted split views by the words of a message.

--- a/crates/lab/src/history.rs
+++ b/crates/lab/src/history.rs
@@ -2,7 +2,7 @@
 //! The checker reads the history and nothing else.
 
 use serde_json::Value;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 /// Something that a process said, or that was done to it.
@@ -106,6 +106,27 @@
     },
 }
 
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TwoViews(epoch) => write!(f, "two views have the number {epoch}"),
+            Self::ActedFor { who, acted_until, free_at } => write!(
+                f,
+                "{who} acted until {acted_until}, and another might have acted for it from {free_at} on"
+            ),
+        }
+    }
+}
+
+/// Lives that were put out as gone or cut off.
+pub fn put_out(history: &[Event]) -> BTreeSet<&str> {
+    let out = history.iter().filter_map(|event| match &event.what {
+        What::Change { who, cause, .. } if cause == "Gone" || cause == "CutOff" => Some(who.as_str()),
+        _ => None,
+    });
+    out.collect()
+}
+
 /// What a history comes to.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Judged {
--- a/crates/lab/src/membership.rs
+++ b/crates/lab/src/membership.rs
@@ -1,7 +1,7 @@
 //! What a fleet of real processes does under each trouble and under load: how fast a death is seen and agreed on, who was put out
 //! wrongly, how long before another one may act a member was fenced, and what it costs.
 
-use crate::history::{judge, Event, What};
+use crate::history::{judge, put_out, Broken, Event, Judged, What};
 use crate::load::{self, ClassResult, Target};
 use crate::processes::{Ground, Processes};
 use crate::trouble::{Played, Script};
@@ -56,7 +56,7 @@
     /// Suspicions of members that nothing was wrong with.
     suspected: usize,
     evicted: usize,
-    gap_ms: Option<i64>,
+    judged: Judged,
     faults: Vec<String>,
 }
 
@@ -173,9 +173,10 @@
         let gone = |what: &What, who: &str| matches!(what, What::Advice { who: of, opinion } if of == who && opinion == "Gone");
         let out = |what: &What, who: &str| matches!(what, What::Change { who: of, cause, .. } if of == who && cause == "Gone");
         let victims: Vec<&String> = killed.iter().map(|(_, who)| who).collect();
-        let evicted = evicted(&history, |who| victims.iter().any(|victim| *victim == who));
-        let mut faults: Vec<String> =
-            judge(&history).broken.iter().map(|broken| format!("{broken:?}")).collect();
+        let mut evicted = put_out(&history);
+        evicted.retain(|who| !victims.iter().any(|victim| victim == who));
+        let judged = judge(&history);
+        let mut faults: Vec<String> = judged.broken.iter().map(ToString::to_string).collect();
         faults
             .extend(evicted.iter().map(|who| format!("{who} was put out, though nothing was wrong with it")));
         Ok(Line {
@@ -184,7 +185,7 @@
             agreed_ms: killed.iter().filter_map(|kill| first(kill, out)).collect(),
             suspected: suspected(&history, |who| victims.iter().any(|victim| *victim == who)),
             evicted: evicted.len(),
-            gap_ms: judge(&history).least_gap.map(|us| us / 1_000),
+            judged,
             faults,
         })
     }
@@ -231,25 +232,11 @@
         agreed_ms: played.settled_ms.into_iter().collect(),
         suspected: suspected(&played.history, troubled),
         evicted: script.wrongly_out(&played.history).len(),
-        gap_ms: judge(&played.history).least_gap.map(|us| us / 1_000),
+        judged: judge(&played.history),
         faults,
     }
 }
 
-/// Lives that were put out as gone or cut off, but for those.
-fn evicted(history: &[Event], but: impl Fn(&str) -> bool) -> Vec<String> {
-    let out = history.iter().filter_map(|event| match &event.what {
-        What::Change { who, cause, .. } if (cause == "Gone" || cause == "CutOff") && !but(who) => {
-            Some(who.clone())
-        }
-        _ => None,
-    });
-    let mut out: Vec<String> = out.collect();
-    out.sort();
-    out.dedup();
-    out
-}
-
 fn suspected(history: &[Event], but: impl Fn(&str) -> bool) -> usize {
     let suspects =
         |what: &What| matches!(what, What::Advice { who, opinion } if opinion == "Suspect" && !but(who));
@@ -308,7 +295,7 @@
             told(percentile(&line.agreed_ms, 0.99)),
             line.suspected.to_string(),
             line.evicted.to_string(),
-            line.gap_ms.map_or("-".to_owned(), |ms| ms.to_string()),
+            line.judged.least_gap.map_or("-".to_owned(), |us| (us / 1_000).to_string()),
             line.faults.len().to_string(),
         ]
     };
@@ -326,9 +313,9 @@
 fn verdict(lines: &[Line], cost: &Cost) -> bool {
     let p99 = percentile(&lines[0].agreed_ms, 0.99).unwrap_or(u64::MAX);
     let evicted: usize = lines.iter().map(|line| line.evicted).sum();
-    let faults = || lines.iter().flat_map(|line| &line.faults);
-    let split = faults().filter(|fault| fault.contains("two views") || fault.contains("TwoViews")).count();
-    let broken = faults().count();
+    let split = lines.iter().flat_map(|line| &line.judged.broken);
+    let split = split.filter(|broken| matches!(broken, Broken::TwoViews(_))).count();
+    let broken: usize = lines.iter().map(|line| line.faults.len()).sum();
     println!(
         "membership: detected p99 {p99} ms, false evictions {evicted}, split views {split}, traffic {:.0} bytes a member a second, rules broken {broken}",
         cost.bytes
@@ -342,8 +329,8 @@
 
     fn kills(agreed_ms: Vec<u64>, faults: &[&str], evicted: usize) -> Vec<Line> {
         let faults = faults.iter().map(|fault| (*fault).to_owned()).collect();
-        let (detected_ms, gap_ms) = (Vec::new(), None);
-        vec![Line { name: String::new(), detected_ms, agreed_ms, suspected: 3, evicted, gap_ms, faults }]
+        let (detected_ms, judged) = (Vec::new(), Judged::default());
+        vec![Line { name: String::new(), detected_ms, agreed_ms, suspected: 3, evicted, judged, faults }]
     }
 
     #[test]
--- a/crates/lab/src/processes.rs
+++ b/crates/lab/src/processes.rs
@@ -14,9 +14,8 @@
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::time::{sleep, Instant};
+use wheelpier::cli::fleet::get;
 use wheelpier_standin::link::Link;
 use wheelpier_standin::net::relay::Relay;
 use wheelpier_standin::net::Clock;
@@ -52,7 +51,6 @@
     clients: SocketAddr,
     console: SocketAddr,
     child: Option<Child>,
-    stopped: bool,
 }
 
 /// The fleet.
@@ -105,7 +103,6 @@
             clients: at[1],
             console: at[2],
             child: None,
-            stopped: false,
         };
         let nodes: Vec<Node> = places.chunks_exact(3).enumerate().map(node).collect();
         let mut relays = BTreeMap::new();
@@ -213,21 +210,18 @@
             let _ = child.kill();
             let _ = child.wait();
         }
-        self.nodes[n].stopped = false;
         self.did(n, "killed");
     }
 
     /// It stands still.
     pub fn stop(&mut self, n: usize) {
         self.signal(n, "STOP");
-        self.nodes[n].stopped = true;
         self.did(n, "stopped");
     }
 
     /// It goes on.
     pub fn go_on(&mut self, n: usize) {
         self.signal(n, "CONT");
-        self.nodes[n].stopped = false;
         self.did(n, "continued");
     }
 
@@ -321,9 +315,9 @@
     /// When a console does not answer.
     pub async fn spent(&self) -> Result<(u64, f64), LabError> {
         let (mut bytes, mut seconds) = (0, 0.0);
-        for node in &self.nodes {
+        for (n, node) in self.nodes.iter().enumerate() {
             let Some(child) = &node.child else { continue };
-            let figures = get(node.console, "/admin/stats").await?;
+            let figures = self.figures(n).await?;
             let sent = figures.lines().find_map(|line| line.strip_prefix("gw.fleet.sent_bytes="));
             bytes += sent.and_then(|sent| sent.parse::<u64>().ok()).ok_or(LabError::Ended)?;
             seconds += on_a_core(child.id())?;
@@ -341,7 +335,7 @@
     /// # Errors
     /// When the console does not answer.
     pub async fn figures(&self, n: usize) -> Result<String, LabError> {
-        get(self.nodes[n].console, "/admin/stats").await
+        Ok(get(self.nodes[n].console, "/admin/stats").await?)
     }
 
     /// What memory a process has taken, in KiB, by the system's count (proc(5)).
@@ -423,15 +417,6 @@
     }
 }
 
-/// What a console answers.
-async fn get(console: SocketAddr, path: &str) -> Result<String, LabError> {
-    let mut stream = TcpStream::connect(console).await?;
-    stream.write_all(format!("GET {path} HTTP/1.1\r\nhost: {console}\r\n\r\n").as_bytes()).await?;
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).await?;
-    Ok(answer)
-}
-
 /// How long a process has run, by the system's count of hundredths of a second (proc(5)).
 fn on_a_core(pid: u32) -> Result<f64, LabError> {
     let text = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
--- a/crates/lab/src/trouble.rs
+++ b/crates/lab/src/trouble.rs
@@ -1,7 +1,7 @@
 //! Scripts of troubles (`fleets/*.yaml`): what happens to a fleet and when, and what may come of it. One script is played on
 //! two stages, real processes and virtual time, and what both say goes to one checker.
 
-use crate::history::{judge, Broken, Event, What};
+use crate::history::{judge, put_out, Event};
 use crate::members::{Fleet, Trouble};
 use crate::processes::Processes;
 use crate::LabError;
@@ -147,14 +147,14 @@
     /// Those that were put out though they may not be.
     pub fn wrongly_out(&self, history: &[Event]) -> Vec<usize> {
         let may = |n: &usize| self.may_be_out.contains(n) || self.must_be_out.contains(n);
-        put_out(history).into_iter().filter(|n| !may(n)).collect()
+        processes_out(history).into_iter().filter(|n| !may(n)).collect()
     }
 
     /// What of its history, or of its end, is not as the script says; none if all is.
     pub fn faults(&self, played: &Played) -> Vec<String> {
         let judged = judge(&played.history);
-        let mut faults: Vec<String> = judged.broken.iter().map(broken).collect();
-        let out = put_out(&played.history);
+        let mut faults: Vec<String> = judged.broken.iter().map(ToString::to_string).collect();
+        let out = processes_out(&played.history);
         let wrongly = self.wrongly_out(&played.history);
         faults.extend(
             wrongly.iter().map(|n| format!("process {n} was put out, though nothing was wrong with it")),
@@ -208,22 +208,9 @@
     }
 }
 
-fn broken(broken: &Broken) -> String {
-    match broken {
-        Broken::TwoViews(epoch) => format!("two views have the number {epoch}"),
-        Broken::ActedFor { who, acted_until, free_at } => {
-            format!("{who} acted until {acted_until}, and another might have acted for it from {free_at} on")
-        }
-    }
-}
-
 /// Processes that were put out as gone or cut off.
-fn put_out(history: &[Event]) -> BTreeSet<usize> {
-    let out = history.iter().filter_map(|event| match &event.what {
-        What::Change { who, cause, .. } if cause == "Gone" || cause == "CutOff" => process(who),
-        _ => None,
-    });
-    out.collect()
+fn processes_out(history: &[Event]) -> BTreeSet<usize> {
+    put_out(history).into_iter().filter_map(process).collect()
 }
 
 /// The number in a name like `p003#7`.
@@ -307,6 +294,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::history::What;
 
     fn script(may_be_out: &[usize], must_be_out: &[usize]) -> Script {
         Script {
--- a/src/cli/fleet.rs
+++ b/src/cli/fleet.rs
@@ -56,7 +56,11 @@
     }
 }
 
-async fn get(console: SocketAddr, path: &str) -> io::Result<String> {
+/// What a proxy's console answers to `GET` of a path.
+///
+/// # Errors
+/// When it does not answer within two seconds, or with another status than 200.
+pub async fn get(console: SocketAddr, path: &str) -> io::Result<String> {
     let whole = async {
         let stream = TcpStream::connect(console).await?;
         let (mut sender, connection) =
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,6 @@
 //! The command line: what a person types, and what the exit status says.
 
-mod fleet;
+pub mod fleet;
 
 use crate::budget::PURPOSES;
 use crate::config::{ClassName, Config, ConfigError, Names, Operator, OperatorError, Peers};
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -176,11 +176,15 @@
         let settings = &self.config.settings;
         let retry_after = settings.retry_after.then_some(settings.max_retry_after);
         // Before the first list no group is known, but any may come.
-        if self.groups.is_empty() || self.open >= self.config.most_held {
-            match self.groups.is_empty() {
-                true => self.turned.away(Reason::NotReady, "the list of ledger hosts has not come yet"),
-                false => self.turned.away(Reason::Held, "as many requests are held as may be"),
-            }
+        let refused = if self.groups.is_empty() {
+            Some((Reason::NotReady, "the list of ledger hosts has not come yet"))
+        } else if self.open >= self.config.most_held {
+            Some((Reason::Held, "as many requests are held as may be"))
+        } else {
+            None
+        };
+        if let Some((reason, what)) = refused {
+            self.turned.away(reason, what);
             self.counters.ended(Ended::Refused, class);
             return mail(&client, id, Answer::Refused { retry_after });
         }
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -219,15 +219,16 @@
                         squeeze.send_replace(());
                     }
                     let room = match taken < door.limit + OVERFLOW {
-                        true => door.memory.connection().ok().zip(door.memory.buffers().ok()),
-                        false => None,
+                        true => {
+                            let room = door.memory.connection().ok().zip(door.memory.buffers().ok());
+                            room.ok_or(Reason::Memory)
+                        }
+                        false => Err(Reason::Seat),
                     };
-                    if room.is_none() {
-                        let full = taken >= door.limit + OVERFLOW;
-                        let reason = if full { Reason::Seat } else { Reason::Memory };
+                    if let Err(reason) = room {
                         door.turned.away(reason, "a connection is closed at the door");
                     }
-                    if let Some((connection, buffers)) = room {
+                    if let Ok((connection, buffers)) = room {
                         let ids = Arc::clone(&ids);
                         let id = move || RequestId(ids.fetch_add(1, Relaxed));
                         let stranger = Arc::new(Notify::new());
--- a/src/net/upstream/connection.rs
+++ b/src/net/upstream/connection.rs
@@ -76,7 +76,6 @@
         matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Writes a request and reads its answer into the exchange; whether the connection can be used again.
     /// Asks, and reads the answer into `exchange`; false if the connection is of no further use. `written` is
     /// told once the question's last byte is written.
     pub async fn ask(&mut self, ask: &Ask<'_>, exchange: &mut Exchange, written: impl FnOnce()) -> bool {
