Withdraw what is not yet written once its client has left, whatever cancels allow

Seen by reading and by forced crossings (tests/sockets/leaving.rs): where settings.limits.mayCancel is false nobody called off an attempt whose connection was still coming up or that waited for one of the descriptors that all hosts share (policy.rs, close: the whole loop stands under may_cancel). Behind a request that was out, with more than READ_AHEAD pipelined, nobody read the socket (client.rs, ask: the read was disabled), and during a penalty nobody did either (client.rs, talk: sleep), so the next statement was taken and sent on for nobody.

Ruled out: what the module holds and what stands between two attempts went with ClientLeft already (both have tests).

Change: the module's actor tells hosts to withdraw what is still out for a request that has ended; a host's actor does so only while the query is not written whole, and brings it back as moot: it never ran. A call-off of the unwritten is moot as well. A client's end is seen through the socket's read-closed readiness, which comes though what was said before is unread.

--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -149,6 +149,7 @@
                 if self.close(id, Ended::Left).is_some() {
                     self.tell(Told::ClientLeft(id)).await;
                 }
+                self.withdraw(id).await;
                 self.forget(id);
             }
             Event::Ended(end) => self.ended(*end).await,
@@ -271,9 +272,21 @@
             mail(&client, id, Answer::Failed);
             self.tell(Told::ClientLeft(id)).await;
         }
+        self.withdraw(id).await;
         self.forget(id);
     }
 
+    /// Nobody waits for what is still out for a request that has ended: what a host has not had whole yet is not
+    /// sent on. That needs no leave to cancel: it never ran.
+    async fn withdraw(&mut self, id: RequestId) {
+        let Some(held) = self.table.get(&id).filter(|held| held.out > 0) else { return };
+        for (attempt, host) in held.sent.iter().enumerate() {
+            if let Some(member) = self.members.get(host) {
+                member.peer.tell(Command::Withdraw { id, attempt: attempt as u32 }).await;
+            }
+        }
+    }
+
     async fn ended(&mut self, end: AttemptEnd) {
         let AttemptEnd { id, attempt, host, outcome, latency, position, role, value } = end;
         self.counters.outcome(outcome);
@@ -294,6 +307,7 @@
         self.tell(Told::Reply(reply)).await;
         if let Some((client, value)) = served {
             mail(&client, id, Answer::Served(value));
+            self.withdraw(id).await;
         }
         self.forget(id);
     }
--- a/src/net/frontend/client.rs
+++ b/src/net/frontend/client.rs
@@ -13,12 +13,14 @@
 use crate::protocol::Protocol;
 use crate::reasons::Reason;
 use bytes::BytesMut;
+use std::future::Future;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch, Notify};
+use tokio::task::unconstrained;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 /// A client that has connected and does not say who it is is cut off after this time.
@@ -234,7 +236,11 @@
                 }
                 self.quiet = Instant::now();
                 if self.wrong > wrong {
-                    sleep(PENALTY * self.wrong).await;
+                    tokio::select! {
+                        () = sleep(PENALTY * self.wrong) => {}
+                        // What it still says is not sent on for nobody.
+                        () = left(&self.stream) => self.ended = true,
+                    }
                 }
             }
             if self.ended || (self.full() && self.asked) {
@@ -361,6 +367,8 @@
     /// Hands a request to the module and writes the answer, unless the client leaves before.
     async fn ask(&mut self, mut request: Request) -> Result<(), Over> {
         self.account = self.door.memory.account(request.class, request.tenant);
+        // It may have gone while the answer before this one was on its way: nobody read then.
+        self.ended |= is_ready(left(&self.stream)).await;
         if self.ended {
             // It ended its side after sending this: it may be gone, or only have nothing more to say.
             self.fault(&Fault::Left);
@@ -385,10 +393,18 @@
             return Err(Over::Closed);
         }
         loop {
-            let room = self.read.len() < READ_AHEAD;
+            let Self { stream, read, mailbox, .. } = self;
+            let said = async {
+                if read.len() < READ_AHEAD {
+                    return stream.read_buf(read).await;
+                }
+                // What it pipelines stays unread, but not that it leaves.
+                left(stream).await;
+                Ok(0)
+            };
             tokio::select! {
                 biased;
-                mail = self.mailbox.recv() => match mail {
+                mail = mailbox.recv() => match mail {
                     Some(Mail::Answer(of, answer)) if of == id => {
                         self.answer(answer);
                         return Ok(());
@@ -396,7 +412,7 @@
                     Some(_) => {}
                     None => return Err(Over::Closed),
                 },
-                read = self.stream.read_buf(&mut self.read), if room && !self.ended => {
+                read = said => {
                     if matches!(read, Ok(n) if n > 0) {
                         match self.conversation.gives_up(&mut self.read, &mut self.out) {
                             Ok(false) => continue,
@@ -475,6 +491,31 @@
     }
 }
 
+/// Comes when the client has ended its side, though what it said before is still unread. The readiness that tokio calls
+/// priority comes with that end, and without what was said before it.
+async fn left(stream: &TcpStream) {
+    loop {
+        match stream.ready(Interest::PRIORITY).await {
+            Ok(ready) if !ready.is_read_closed() => {
+                // Urgent data, which has no meaning here: looked at once.
+                let _ = stream.try_io(Interest::PRIORITY, || -> io::Result<()> {
+                    Err(io::ErrorKind::WouldBlock.into())
+                });
+            }
+            _ => return,
+        }
+    }
+}
+
+/// Whether that has come already.
+async fn is_ready(what: impl Future<Output = ()>) -> bool {
+    tokio::select! {
+        biased;
+        () = unconstrained(what) => true,
+        () = std::future::ready(()) => false,
+    }
+}
+
 /// How many clients are here; the door itself holds one seat.
 fn taken(seat: &Arc<()>) -> usize {
     Arc::strong_count(seat) - 1
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -16,6 +16,7 @@
 use exchange::Exchange;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch, Semaphore};
@@ -39,6 +40,8 @@
     Attempt(Attempt),
     /// Gives an attempt up; ignored if it is not here.
     Cancel { id: RequestId, attempt: u32 },
+    /// Nobody waits for the attempt any more: given up as long as it is not written whole, and so never runs.
+    Withdraw { id: RequestId, attempt: u32 },
     /// Asks the host for its report.
     Probe { sent: Instant },
     /// Closes idle connections.
@@ -126,6 +129,28 @@
     since: Instant,
 }
 
+/// The ways to stop an attempt, each of which can be used once.
+struct Stop {
+    /// Whatever it has come to.
+    cancel: Option<oneshot::Sender<()>>,
+    /// Only if it is not written.
+    withdraw: Option<oneshot::Sender<()>>,
+}
+
+/// What stops an attempt.
+struct Stopped {
+    cancelled: oneshot::Receiver<()>,
+    withdrawn: oneshot::Receiver<()>,
+}
+
+impl Stop {
+    fn new() -> (Self, Stopped) {
+        let (cancel, cancelled) = oneshot::channel();
+        let (withdraw, withdrawn) = oneshot::channel();
+        (Self { cancel: Some(cancel), withdraw: Some(withdraw) }, Stopped { cancelled, withdrawn })
+    }
+}
+
 struct Host {
     host: HostId,
     place: Place,
@@ -134,7 +159,7 @@
     running: watch::Sender<bool>,
     /// The longest idle first; the others are used first, so that what is too much grows old.
     idle: VecDeque<Idle>,
-    out: HashMap<(RequestId, u32), oneshot::Sender<()>>,
+    out: HashMap<(RequestId, u32), Stop>,
     tasks: JoinSet<Done>,
     /// What the module's actor has had no room for yet.
     tell: VecDeque<Event>,
@@ -200,15 +225,18 @@
                 self.idle.clear();
             }
             Command::Attempt(attempt) => {
-                let (cancel, cancelled) = oneshot::channel();
-                self.out.insert((attempt.id, attempt.attempt), cancel);
+                let (stop, stopped) = Stop::new();
+                self.out.insert((attempt.id, attempt.attempt), stop);
                 let way = self.way();
-                self.tasks.spawn(try_once(self.host, attempt, way, cancelled));
+                self.tasks.spawn(try_once(self.host, attempt, way, stopped));
             }
             Command::Cancel { id, attempt } => {
-                if let Some(cancel) = self.out.remove(&(id, attempt)) {
-                    let _ = cancel.send(());
-                }
+                let stop = self.out.get_mut(&(id, attempt)).and_then(|stop| stop.cancel.take());
+                let _ = stop.map(|stop| stop.send(()));
+            }
+            Command::Withdraw { id, attempt } => {
+                let stop = self.out.get_mut(&(id, attempt)).and_then(|stop| stop.withdraw.take());
+                let _ = stop.map(|stop| stop.send(()));
             }
             Command::Probe { sent } => {
                 let way = self.way();
@@ -279,19 +307,32 @@
     }
 }
 
-async fn try_once(host: HostId, a: Attempt, mut way: Way, mut cancelled: oneshot::Receiver<()>) -> Done {
+async fn try_once(host: HostId, a: Attempt, mut way: Way, stopped: Stopped) -> Done {
+    let Stopped { mut cancelled, withdrawn } = stopped;
     let mut connection = None;
     let mut exchange = Exchange::default();
+    let written = AtomicBool::new(false);
+    let withdrawn = async {
+        // What is written whole may run, and is left to the settings' word on cancels.
+        if withdrawn.await.is_err() || written.load(Relaxed) {
+            std::future::pending::<()>().await;
+        }
+    };
     let stopped = {
         let work = async {
             let open = way.open(a.deadline).await?;
             let left = a.deadline.saturating_duration_since(Instant::now());
             let (open, counters) = (connection.insert(open), &way.pool.counters);
-            Ok(open.ask(&Ask::Statement(&a.statement, left), &mut exchange, || counters.forwarded()).await)
+            let note = || {
+                written.store(true, Relaxed);
+                counters.forwarded();
+            };
+            Ok(open.ask(&Ask::Statement(&a.statement, left), &mut exchange, note).await)
         };
         tokio::select! {
             biased;
             Ok(()) = &mut cancelled => Err(Outcome::Cancelled),
+            () = withdrawn => Err(Outcome::Moot),
             done = work => done,
             () = sleep_until(a.deadline) => Err(Outcome::Timeout),
         }
@@ -302,6 +343,8 @@
         Err(Outcome::Timeout) if exchange.told() => (exchange.outcome(), false),
         // Stuck in the middle of the query: it never ran.
         Err(Outcome::Timeout) if !exchange.written => (Outcome::ConnectFailed, false),
+        // Called off before it was whole: its connection closes, and it never runs.
+        Err(Outcome::Cancelled) if !exchange.written => (Outcome::Moot, false),
         Err(outcome) => (outcome, false),
     };
     let end = AttemptEnd {
--- /dev/null
+++ b/tests/sockets/leaving.rs
@@ -0,0 +1,170 @@
+//! Clients that leave: what was not sent on for them by then never is. Each crossing is forced: a host holds back its
+//! greeting, an answer or a place, until the proxy's own counters show that the client has left.
+
+use crate::scenario::{play_in, settings};
+use rstest::rstest;
+use serde_json::{json, Value};
+
+/// The scenarios' settings where connections may take their time, and where an attempt may be called off or not.
+fn patient(cancel: bool) -> String {
+    let mut all: Value = serde_json::from_str(&settings()).unwrap();
+    all["limits"]["connectTimeout"] = json!(6.0);
+    all["limits"]["mayCancel"] = json!(cancel);
+    all["limits"]["keepalive"] = json!(60.0);
+    // What a host is made to hold back is late, and must not keep others out.
+    all["grades"].as_array_mut().unwrap().iter_mut().for_each(|grade| grade["onTime"] = json!(2.9));
+    all.to_string()
+}
+
+/// Its connection to the host is still coming up.
+#[rstest]
+fn not_sent_once_the_connection_is_up(
+    #[values("close", "close half", "close reset")] leaves: &str,
+    #[values(true, false)] cancel: bool,
+    #[values("read q1 2900", "write q1 2900")] asks: &str,
+) {
+    let text = "
+        h1 send load x0=1.5,x1=1,util=0.1
+        c9 send startup
+        c9 expect ready
+        c9 send read q0 2900                # the host is known as the primary
+        h1 expect id=q0
+        h1 send value zero primary
+        c9 expect value zero
+        h1 expect knock
+        wait 20                             # a connection rests for 3 ms after its answer
+        c8 send startup
+        c8 expect ready
+        c8 send read q00 2900               # holds the one connection there is
+        h1 expect id=q00
+        h1 send hold
+        c1 send startup
+        c1 expect ready
+        c1 send ASKS
+        h1 expect knock
+        proxy expect figures taken=3
+        c1 LEAVES
+        proxy expect figures left=1
+        h1 send release
+        h1 expect silence 400
+        h1 send value there primary         # the others do not suffer
+        c8 expect value there
+        c8 send read q3 2900
+        h1 expect id=q3
+        proxy expect figures sent=4 moot=1 cancelled=0";
+    play_in(&patient(cancel), 1, &text.replace("LEAVES", leaves).replace("ASKS", asks));
+}
+
+/// It waits for one of the descriptors that all hosts share, of which the scenarios' limits leave nine.
+#[rstest]
+fn not_sent_once_there_is_a_place(#[values(true, false)] cancel: bool) {
+    let text = "
+        c1-10 send startup
+        c1-10 expect ready
+        c1 send read q1 5900
+        h1 expect id=q1
+        h1 send value one primary
+        c1 expect value one
+        c1-9 send read r@ 5900
+        h1 expect c=any
+        h1 expect c=any
+        h1 expect c=any
+        h1 expect c=any
+        h1 expect c=any
+        h1 expect c=any
+        h1 expect c=any
+        h1 expect c=any
+        h1 expect c=any
+        c10 send read q10 5900
+        proxy expect figures sent=11
+        h1 expect silence 50
+        c10 close
+        proxy expect figures left=1
+        h1 close                            # a place becomes free
+        h1 expect c=any                     # for the repeat of what was cut off
+        h1 expect silence 400";
+    play_in(&patient(cancel), 1, text);
+}
+
+/// It is behind a request that is out, and more behind it than is read ahead.
+#[rstest]
+fn not_sent_from_behind_another(#[values("close", "close half", "close reset")] leaves: &str) {
+    let text = "
+        c1 send startup
+        c1 expect ready
+        c1 send read q1 2900
+        h1 expect id=q1
+        c1 send read q2 2900
+        c1 send part 60000
+        c1 LEAVES
+        proxy expect figures left=1
+        h1 send value late primary
+        h1 expect silence 400
+        proxy expect figures sent=1";
+    play_in(&patient(false), 1, &text.replace("LEAVES", leaves));
+}
+
+/// It waits for the end of a penalty: the third statement that makes no sense costs 120 ms.
+#[rstest]
+fn not_sent_after_a_penalty(#[values("close", "close half", "close reset")] leaves: &str) {
+    let text = "
+        c1 send startup
+        c1 expect ready
+        c1 send text SELECT 1
+        c1 expect error 42601
+        c1 send text SELECT 2
+        c1 expect error 42601
+        c1 send text SELECT 3
+        c1 expect error 42601
+        c1 send read q1 2900
+        c1 LEAVES
+        h1 expect silence 500
+        proxy expect figures sent=0";
+    play_in(&patient(false), 1, &text.replace("LEAVES", leaves));
+}
+
+/// The module holds it, since no host of its group takes anything: first a host drains, then it is back.
+#[rstest]
+fn not_sent_once_a_host_is_there(#[values("close", "close half", "close reset")] leaves: &str) {
+    let text = "
+        list expect follow
+        list send h1 draining
+        proxy expect figures lists=2
+        c1 send startup
+        c1 expect ready
+        c1 send read q1 2900
+        proxy expect figures taken=1
+        h1 expect silence 30
+        c1 LEAVES
+        proxy expect figures left=1
+        list send h1 up
+        proxy expect figures lists=3
+        h1 expect silence 400
+        c2 send startup
+        c2 expect ready
+        c2 send read q2 2900
+        h1 expect id=q2";
+    play_in(&patient(false), 1, &text.replace("LEAVES", leaves));
+}
+
+/// Between two attempts: the first was turned away, and all hosts there are rest.
+#[rstest]
+fn not_sent_a_second_time(#[values("close", "close half", "close reset")] leaves: &str) {
+    let text = "
+        list expect follow
+        c1 send startup
+        c1 expect ready
+        c1 send read q1 2900
+        h1 expect id=q1
+        list send h1 draining
+        proxy expect figures lists=2
+        h1 send error 53300
+        proxy expect figures full=1
+        c1 LEAVES
+        proxy expect figures left=1
+        list send h1 up
+        proxy expect figures lists=3
+        h1 expect silence 400
+        proxy expect figures sent=1";
+    play_in(&patient(false), 1, &text.replace("LEAVES", leaves));
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -2,6 +2,7 @@
 
 mod deployments;
 mod fleet;
+mod leaving;
 mod memory;
 mod proxy;
 mod scenario;
--- a/tests/sockets/scenario/mod.rs
+++ b/tests/sockets/scenario/mod.rs
@@ -7,13 +7,14 @@
 //! ```text
 //! c1 send startup | ssl | cancel | sync | terminate | raw HEX | text SQL | read ID D | write ID D | own ID D
 //! c1 send part BYTES (so many of a long message)
-//! c1 expect ready | empty | value V | error CODE [DETAIL] | N | closed | silence MS;  c1 close | close half
+//! c1 expect ready | empty | value V | error CODE [DETAIL] | N | closed | silence MS;  c1 close | close half | close reset
 //! c1 expect within MS ...: the same, but no later than that
 //! h1 expect WORDS (a query holding them all) | closed | silence MS;  h1 close
+//! h1 send hold (new connections hear nothing until `h1 send release`);  h1 expect knock (one has come)
 //! h1 send value V [ROLE AHEAD_MS] | parts LETTERS V (an answer of those messages) | error CODE | raw HEX
 //! h1 send load TEXT (what it reports from then on; `true` for the truth)
 //! list send NAME STATUS;  list expect WORDS (a request holding them all);  list close
-//! proxy send TERM | HUP;  proxy expect exit CODE | log WORDS
+//! proxy send TERM | HUP;  proxy expect exit CODE | log WORDS | figures WORDS (among its counters, sooner or later)
 //! new send start (a second program beside the first: the same addresses, its own console) | TERM | HUP
 //! new expect exit CODE | log WORDS
 //! operator send health | stats | quiesce | resume (a call at the console);  operator expect WORDS (in its answer)
@@ -35,7 +36,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering::Relaxed};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 const PATIENCE: Duration = Duration::from_secs(8);
@@ -123,6 +124,10 @@
 
 /// A ledger host: greets, answers probes and passes queries on to the scenario.
 struct Host {
+    /// Shut while new connections are to hear nothing.
+    gate: Arc<(Mutex<bool>, Condvar)>,
+    /// A connection has come.
+    knocks: Receiver<()>,
     address: SocketAddr,
     wire: Wire,
     queries: Receiver<Query>,
@@ -137,16 +142,23 @@
         let (sender, queries) = channel();
         let load = Arc::new(Mutex::new(None));
         let told = Arc::clone(&load);
+        let (knock, knocks) = channel();
+        let gate = Arc::new((Mutex::new(false), Condvar::new()));
+        let shut = Arc::clone(&gate);
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (sender, told) = (sender.clone(), Arc::clone(&told));
-                std::thread::spawn(move || match wire {
-                    Wire::Postgres => Self::greet(stream, primary, told, sender),
-                    Wire::Tds => Self::greet_tds(stream, primary, told, sender),
+                let (sender, told, shut) = (sender.clone(), Arc::clone(&told), Arc::clone(&shut));
+                let _ = knock.send(());
+                std::thread::spawn(move || {
+                    drop(shut.1.wait_while(shut.0.lock().unwrap(), |shut| *shut).unwrap());
+                    match wire {
+                        Wire::Postgres => Self::greet(stream, primary, told, sender),
+                        Wire::Tds => Self::greet_tds(stream, primary, told, sender),
+                    }
                 });
             }
         });
-        Self { address, wire, queries, current: None, load }
+        Self { gate, knocks, address, wire, queries, current: None, load }
     }
 
     fn greet(
@@ -312,6 +324,18 @@
         match what.split_once(' ') {
             Some(("exit", code)) => assert_eq!(self.exit().to_string(), code),
             Some(("log", words)) => drop(self.log(words)),
+            Some(("figures", words)) => {
+                let until = Instant::now() + PATIENCE;
+                loop {
+                    self.signal("USR1");
+                    let figures = self.log("counters:");
+                    if words.split(' ').all(|word| figures.split(' ').any(|figure| figure == word)) {
+                        break;
+                    }
+                    assert!(Instant::now() < until, "`{figures}` lacks of `{words}`");
+                    std::thread::sleep(Duration::from_millis(5));
+                }
+            }
             _ => panic!("what?"),
         }
     }
@@ -492,6 +516,10 @@
             "send" if speaks_tds => stream.write_all(&tds::client_bytes(what)).unwrap(),
             "send" => stream.write_all(&client_bytes(what)).unwrap(),
             "close" if what == "half" => stream.shutdown(Shutdown::Write).unwrap(),
+            "close" if what == "reset" => {
+                let stream = self.clients.remove(who).expect("a client");
+                socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+            }
             "close" => drop(self.clients.remove(who)),
             "expect" if speaks_tds => tds::client_expects(stream, what),
             "expect" => client_expects(stream, what),
@@ -509,6 +537,10 @@
     }
 
     fn send(&mut self, what: &str) {
+        if matches!(what, "hold" | "release") {
+            *self.gate.0.lock().unwrap() = what == "hold";
+            return self.gate.1.notify_all();
+        }
         if let Some(load) = what.strip_prefix("load ") {
             *self.load.lock().unwrap() = Some(load.to_owned()).filter(|load| load != "true");
             return;
@@ -549,6 +581,9 @@
                     matches!(end, Ok(0)) || end.is_err_and(|e| e.kind() != std::io::ErrorKind::WouldBlock)
                 );
             }
+            ("expect", None) if what == "knock" => {
+                self.knocks.recv_timeout(PATIENCE).expect("a connection");
+            }
             ("expect", Some(("silence", ms))) => {
                 let query = self.queries.recv_timeout(Duration::from_millis(ms.parse().unwrap()));
                 assert_eq!(query.err(), Some(RecvTimeoutError::Timeout));
