Send a write that must not be repeated to the known primary where nobody can be asked

Cause: policy.rs, fit: what must not be repeated needs its primary heard of within EVIDENCE_US (1 s). One of 300 routers hears a primary every few seconds. Where probes are not to be had nobody asks it, guess() refuses since a primary is known, and the write is held until half of its time is over and refused. With probes it is asked first, as ever (second test). Ruled out: deadlines (half of 0.5 s is many times the work), cancels and copies (settings have neither; reads served well).

Change: no proof is required where nobody can be asked. The new test fails without it (left: [], right: [host]).

--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -504,9 +504,9 @@
         if !allowed || !self.may_repeat(open, Some(host.zone)) || !self.cold_room(id, host, open) {
             return None;
         }
-        // What can be repeated needs no proof that its host still answers.
-        let recent =
-            class.repeat != Repeat::Unsafe || host.alive.is_some_and(|at| self.now.0 - at.0 <= EVIDENCE_US);
+        // What can be repeated needs no proof that its host still answers; where nobody can be asked there is none.
+        let unproven = class.repeat != Repeat::Unsafe || !self.s.can_ask();
+        let recent = unproven || host.alive.is_some_and(|at| self.now.0 - at.0 <= EVIDENCE_US);
         match (host.role, class.freshness) {
             // While a primary hands over it turns writes away and still calls itself the primary.
             (_, Freshness::Write) if host.declined.is_some_and(|at| self.now.0 - at.0 < DECLINED_US) => {
--- a/crates/decisions/tests/many.rs
+++ b/crates/decisions/tests/many.rs
@@ -184,3 +184,30 @@
         assert_eq!(!then.iter().any(|a| matches!(a, Action::LetGo { .. })), kept);
     }
 }
+
+/// Found on a deployment of our own (`deploy/sites/kiosk-slips.toml`): its writes must not be repeated, nobody may probe,
+/// and one of many routers hears a primary every few seconds. Without a word from it within a second each write was held
+/// until half of its time was over and refused: a quarter of them was served.
+#[test]
+fn a_write_that_must_not_be_repeated_goes_to_the_primary_that_is_known_where_nobody_can_be_asked() {
+    for (may_probe, reports) in [(false, Reports::OnProbe), (true, Reports::Off), (false, Reports::Off)] {
+        let settings = Settings { routers: 300, may_probe, reports, ..settings() };
+        let mut world = World::new(settings, 3);
+        let (id, actions) = world.ask(5, None);
+        let host = sends(&actions)[0];
+        world.reply(id, host, Outcome::Ok, Some(Role::Primary));
+        world.wait(10_000);
+        assert_eq!(sends(&world.ask(3, None).1), [host]);
+    }
+}
+
+/// Where it can be asked, it is asked before.
+#[test]
+fn a_write_that_must_not_be_repeated_waits_for_a_sign_of_life_where_there_can_be_one() {
+    let mut world = World::known(Settings { routers: 3, ..settings() }, 3);
+    world.wait(10_000);
+    let (_, actions) = world.ask(3, None);
+    assert_eq!((sends(&actions), probes(&actions)), (vec![], vec![0]));
+    let now = world.now;
+    assert_eq!(sends(&world.probed(0, report(now, Role::Primary))), [0]);
+}
