Derive a drain's spans from the settings, and answer all before SIGKILL though hosts hang

The spans were constants for deadlines of seconds: with a longest deadline of 0.15 to 0.6 s connections stayed open up to the moment by which all had to be answered, or beyond. They were those of the start: a class that SIGHUP brought did not count. What was taken before SIGTERM kept its own deadline: with hosts that hang it got silence at SIGKILL where that is longer than what is left. SIGTERM waited behind a retune that waits for room in the module's mailbox. A host's task that panicked took its attempt with it: the request stayed out and the host's count wrong.

Change: crates/decisions/src/drain.rs gives all spans from the longest deadline of the classes that are open; the door's terms are replaced at SIGHUP, but not those of a drain that has begun. The module's actor is told when answers are due and brings its last calls forward; a last call refuses what no host had or what may be repeated, and fails the rest. A retune has its own task. Each task of a host is noted with what it owes, which is told for it if it panics. What ends with requests open says so in the log.

Long deadlines keep their spans (2.5 s and 3.5 s of 3.7 s).

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod budget;
 pub mod check;
+pub mod drain;
 pub mod interface;
 pub mod load;
 pub mod membership;
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -128,6 +128,12 @@
         let _ = self.fleet.set(tally);
     }
 
+    /// Requests that were taken and have not ended.
+    pub fn outstanding(&self) -> u64 {
+        let ended: u64 = self.ended.iter().map(|count| count.load(Relaxed)).sum();
+        self.taken.load(Relaxed).saturating_sub(ended)
+    }
+
     /// The figures in the operators' form, `gw.NAME=VALUE` a line (see `docs/operate/console.md`).
     pub fn figures(&self) -> String {
         use fmt::Write;
@@ -140,8 +146,7 @@
             }
         }
         drop(classes);
-        let ended: u64 = self.ended.iter().map(get).sum();
-        let outstanding = get(&self.taken).saturating_sub(ended);
+        let outstanding = self.outstanding();
         let [applied, rejected] = [get(&self.sighup[0]), get(&self.sighup[1])];
         let _ = writeln!(out, "gw.forwards={}", get(&self.forwards));
         let _ = writeln!(out, "gw.outstanding={outstanding}");
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -9,8 +9,8 @@
 use crate::config::Config;
 use crate::counters::{Counters, Ended};
 use crate::interface::{
-    Action, Event as Told, Freshness, HostEntry, HostId, HostState, ListKind, Outcome, Reply, RequestId,
-    SettingsError, Time,
+    Action, Event as Told, Freshness, HostEntry, HostId, HostState, KeyScope, ListKind, Outcome, Repeat,
+    Reply, RequestId, SettingsError, Time,
 };
 use crate::listing::{Listed, Listing};
 use crate::reasons::Reason;
@@ -163,6 +163,13 @@
                 self.router.retune(config.settings.clone());
                 self.config = *config;
             }
+            Event::Drains(by) => {
+                for key in self.table.values().filter_map(|held| held.last_call.as_ref()) {
+                    if self.timers.deadline(key) > by {
+                        self.timers.reset_at(key, by);
+                    }
+                }
+            }
             Event::List(list) => {
                 let kind = if list.whole { ListKind::Replace } else { ListKind::Update };
                 self.list(list, kind).await;
@@ -265,13 +272,22 @@
 
     /// The net under the rule that every request is answered in time, whatever the module does.
     async fn last_call(&mut self, id: RequestId) {
+        let mut harmless = true;
         if let Some(held) = self.table.get_mut(&id) {
             held.last_call = None;
-            let Held { sent, out, .. } = held;
+            let Held { sent, out, class, .. } = held;
+            let repeat = self.config.settings.classes.get(*class).map(|class| class.repeat);
+            // What no host ever had may be tried again, and what does no harm twice.
+            harmless = sent.is_empty() || matches!(repeat, Some(Repeat::Safe | Repeat::Keyed(KeyScope::All)));
             tracing::warn!("request {}: no answer by its deadline; sent to {sent:?}, {out} out", id.0);
         }
-        if let Some(client) = self.close(id, Ended::Failed) {
-            mail(&client, id, Answer::Failed);
+        let retry_after = self.config.settings.retry_after.then_some(self.config.settings.max_retry_after);
+        let (how, answer) = match harmless {
+            true => (Ended::Refused, Answer::Refused { retry_after }),
+            false => (Ended::Failed, Answer::Failed),
+        };
+        if let Some(client) = self.close(id, how) {
+            mail(&client, id, answer);
             self.tell(Told::ClientLeft(id)).await;
         }
         self.withdraw(id).await;
--- a/src/net/frontend/client.rs
+++ b/src/net/frontend/client.rs
@@ -48,8 +48,6 @@
 const READ_AHEAD: usize = 16 * 1024;
 /// When connections run short those that have been idle for longer than this go.
 const IDLE: Duration = Duration::from_millis(2_000);
-/// A connection that comes during a drain is given this long to bring its request.
-const LAST_REQUEST: Duration = Duration::from_millis(500);
 /// A client that takes nothing of its answer for so long is given up.
 const WRITE: Duration = Duration::from_secs(10);
 
@@ -189,11 +187,12 @@
     async fn talk(&mut self, mut squeezed: watch::Receiver<()>) -> Result<(), Over> {
         let mut draining = self.door.draining.clone();
         let mut quiesced = self.door.desk.quiesced.subscribe();
+        let door = self.door.clone();
         // Who stays silent must not hold up the end of a drain.
         let mut drained = draining.clone();
         let last_call = async {
             let _ = drained.wait_for(Option::is_some).await;
-            sleep(LAST_REQUEST).await;
+            sleep_until(door.opens().unwrap_or_else(Instant::now)).await;
         };
         let stranger = self.held.stranger.take();
         let shown_out = async {
@@ -260,9 +259,7 @@
                 None => (!self.asked).then_some(self.came + FIRST),
             };
             // What comes at the drain's end may still bring its first request, or the rest of one.
-            let idle = self.asked && !begun;
-            let patience = if idle { Duration::ZERO } else { LAST_REQUEST };
-            let closes = self.door.closes().map(|at| at.max(self.quiet + patience));
+            let closes = self.door.closes(self.quiet, self.asked && !begun);
             let shown_out = async {
                 match &newcomer {
                     Some(newcomer) => newcomer.notified().await,
@@ -283,7 +280,7 @@
                 }
                 () = shown_out => {
                     self.door.turned.away(Reason::Seat, "a newcomer that asked for nothing made room");
-                    return Err(Over::Seat(Fault::Refused(self.door.retry_after)));
+                    return Err(Over::Seat(Fault::Refused(self.door.retry_after())));
                 }
                 () = sleep_until(closes.unwrap_or(self.came)), if closes.is_some() => return Ok(()),
                 Ok(()) = draining.changed() => {}
@@ -291,7 +288,7 @@
                 Ok(()) = reclaims.changed() => {
                     let (account, held) = (self.account, self.held.buffers.bytes());
                     if reclaims.borrow_and_update().iter().any(|reclaim| reclaim.claims(account, held)) {
-                        return Err(Fault::Refused(self.door.retry_after).into());
+                        return Err(Fault::Refused(self.door.retry_after()).into());
                     }
                 }
                 Ok(()) = squeezed.changed() => {
@@ -337,8 +334,8 @@
         match step {
             Step::Statement(text) => {
                 self.asked = true;
-                let names = Arc::clone(&self.door.names.borrow());
-                match request::read(text, &names, self.door.clock.now()) {
+                let terms = Arc::clone(&self.door.terms.borrow());
+                match request::read(text, &terms.names, self.door.clock.now()) {
                     Ok(request) => self.ask(request).await?,
                     Err(fault) => self.senseless(&fault),
                 }
@@ -381,7 +378,7 @@
         if self.full() {
             // Without a time to come back at, a crowd would be back at once.
             self.door.turned.away(Reason::Seat, "all seats are taken");
-            self.fault(&Fault::Refused(self.door.retry_after));
+            self.fault(&Fault::Refused(self.door.retry_after()));
             return Ok(());
         }
         let (id, arrived, client) = ((self.id)(), Instant::now(), self.address.clone());
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -12,8 +12,9 @@
 use super::memory::{Memory, Reclaim};
 use super::messages::Event;
 use super::turned::Turned;
-use crate::config::Names;
+use crate::config::{Config, Names};
 use crate::counters::Counters;
+use crate::drain::Drain;
 use crate::interface::{RequestId, Time};
 use crate::protocol::Protocol;
 use crate::reasons::Reason;
@@ -30,20 +31,9 @@
 use tokio::task::{yield_now, JoinSet};
 use tokio::time::{sleep, sleep_until, Instant};
 
-/// After SIGTERM clients still come for a while: the proxy stays at least so long, and so long after the last.
-const STAYS: Duration = Duration::from_millis(750);
-const QUIET: Duration = Duration::from_millis(350);
-/// SIGKILL follows SIGTERM after the longest deadline, which counts as so much at most, and this.
-const LONGEST: Duration = Duration::from_secs(3);
-const KILLED: Duration = Duration::from_millis(700);
 /// After a drain by the console the front sends new connections elsewhere within 0.2 s: those that clients
 /// hold are closed once idle from then on, so that none is idle 4 s after the call.
 const QUIESCED_CLOSES: Duration = Duration::from_millis(400);
-/// Clients use the connections they have until these are closed, and other proxies may be restarting too: they
-/// stay open until so long before SIGKILL. What comes until then still has the time that most requests take.
-const CLOSED_BEFORE: Duration = Duration::from_millis(1_200);
-/// And is answered so long before.
-const ANSWERED_BEFORE: Duration = Duration::from_millis(200);
 /// Connections above the limit that are told so instead of being cut off.
 const OVERFLOW: usize = 8;
 /// One in so many seats may go to connections that have not said yet who they are: crowds that say nothing
@@ -64,40 +54,74 @@
 pub(crate) struct Door {
     pub clock: Clock,
     pub events: mpsc::Sender<Event>,
-    /// What classes and tenants are called; new at SIGHUP.
-    pub names: watch::Receiver<Arc<Names>>,
+    /// What of the settings concerns clients; new at SIGHUP.
+    pub terms: watch::Receiver<Arc<Terms>>,
     /// Whether the empty query hears yes, and since when the console drains.
     pub desk: Desk,
     /// When SIGTERM came.
     pub draining: watch::Receiver<Option<Instant>>,
-    /// The longest time that a class of requests is given.
-    pub longest: Duration,
     pub counters: Arc<Counters>,
     pub turned: Turned,
     pub memory: Memory,
     pub reclaims: watch::Receiver<Vec<Arc<Reclaim>>>,
+    pub limit: usize,
+}
+
+/// What of the settings concerns clients.
+#[derive(Clone, Debug)]
+pub(crate) struct Terms {
+    /// What classes and tenants are called.
+    pub names: Names,
+    /// When a drain does what.
+    pub drain: Drain,
     /// When clients that find no seat may come back.
     pub retry_after: Option<Time>,
-    pub limit: usize,
+}
+
+impl Terms {
+    /// The terms in a configuration. Classes that take no more requests have no part in the drain's spans.
+    pub fn of(config: &Config) -> Self {
+        let classes = config.names.classes.iter().zip(&config.settings.classes);
+        let longest = classes.filter(|(name, _)| name.open).map(|(_, class)| class.deadline.0).max();
+        Self {
+            names: config.names.clone(),
+            drain: Drain::of(Duration::from_micros(longest.unwrap_or(0).max(0) as u64)),
+            retry_after: config.settings.retry_after.then_some(config.settings.max_retry_after),
+        }
+    }
 }
 
 impl Door {
-    /// When SIGKILL has to be expected; none while there is no drain.
-    fn killed(&self) -> Option<Instant> {
-        self.draining.borrow().map(|since| since + self.longest.min(LONGEST) + KILLED)
+    /// The spans of the drain, once it has begun, and when that was.
+    fn drain(&self) -> Option<(Instant, Drain)> {
+        self.draining.borrow().map(|since| (since, self.terms.borrow().drain))
     }
 
-    /// Until when a drain leaves connections open for further requests.
-    fn closes(&self) -> Option<Instant> {
-        let since = *self.draining.borrow();
-        let drained = since.zip(self.killed()).map(|(since, at)| (at - CLOSED_BEFORE).max(since + STAYS));
-        let quiesced = self.desk.quiesced.borrow().map(|since| since + QUIESCED_CLOSES);
+    /// Until when a drain leaves a connection open that was last heard at `quiet`; one that is `idle` has asked before
+    /// and has begun nothing.
+    fn closes(&self, quiet: Instant, idle: bool) -> Option<Instant> {
+        let (since, drain) = self.drain().unzip();
+        let first = drain.map_or(Drain::of(Duration::ZERO).first, |drain| drain.first);
+        let patience = if idle { Duration::ZERO } else { first };
+        let drained = since.zip(drain).map(|(since, drain)| (since + drain.closes, since + drain.shuts));
+        let drained = drained.map(|(closes, shuts)| closes.max(quiet + patience).min(shuts));
+        let quiesced =
+            self.desk.quiesced.borrow().map(|since| (since + QUIESCED_CLOSES).max(quiet + patience));
         drained.into_iter().chain(quiesced).min()
     }
 
+    /// Until when a connection that comes now, or is here as a drain begins, may take to say who it is.
+    fn opens(&self) -> Option<Instant> {
+        self.drain().map(|(since, drain)| (Instant::now() + drain.first).min(since + drain.shuts))
+    }
+
     /// Until when a request that comes now has to be answered, if a drain limits that.
     fn answers(&self) -> Option<Instant> {
-        self.killed().map(|at| at - ANSWERED_BEFORE)
+        self.drain().map(|(since, drain)| since + drain.answers)
+    }
+
+    fn retry_after(&self) -> Option<Time> {
+        self.terms.borrow().retry_after
     }
 }
 
@@ -199,8 +223,8 @@
             accepted = listeners.accept() => match accepted {
                 Ok((protocol, stream)) => {
                     door.counters.client();
-                    if let Some(at) = &mut leave_at {
-                        *at = (*at).max(Instant::now() + QUIET);
+                    if let (Some(at), Some((since, drain))) = (&mut leave_at, door.drain()) {
+                        *at = (*at).max(Instant::now() + drain.quiet).min(since + drain.answers);
                     }
                     let taken = Arc::strong_count(&seats) - 1;
                     strangers.retain(|(_, stranger)| stranger.strong_count() > 0);
@@ -257,7 +281,9 @@
                 }
             },
             Some(_) = clients.join_next() => {}
-            Ok(()) = draining.changed(), if leave_at.is_none() => leave_at = Some(Instant::now() + STAYS),
+            Ok(()) = draining.changed(), if leave_at.is_none() => {
+                leave_at = door.drain().map(|(since, drain)| since + drain.stays);
+            }
             () = leave, if clients.is_empty() => return,
         }
     }
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -152,6 +152,8 @@
     List(Listing),
     /// The configuration was read anew at SIGHUP: the module takes its settings.
     Retune(Box<crate::config::Config>),
+    /// A drain has begun: what is held is answered by then at the latest.
+    Drains(Instant),
 }
 
 /// A request that has come.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -116,7 +116,7 @@
         let (ready, is_ready) = watch::channel(false);
         let (drain, draining) = watch::channel(None);
         let (quiesce, _) = watch::channel(None);
-        let (names, named) = watch::channel(Arc::new(config.names.clone()));
+        let (terms, agreed) = watch::channel(Arc::new(frontend::Terms::of(&config)));
         let clock = clock::Clock::start();
         let fleet = fleet(&config, station, clock, &counters, &draining)?;
         let desk = console::Desk {
@@ -136,15 +136,13 @@
         let door = frontend::Door {
             clock,
             events: events.clone(),
-            names: named,
+            terms: agreed,
             desk,
             draining,
-            longest: longest(&config),
             counters: Arc::clone(&counters),
             turned: turned.clone(),
             memory: memory.clone(),
             reclaims: reclaimed,
-            retry_after: config.settings.retry_after.then_some(config.settings.max_retry_after),
             limit: config.limits.clients,
         };
         let core = core::Core::new(
@@ -158,7 +156,9 @@
         );
         let core = core.map_err(io::Error::other)?;
         let asking = Asking::new(config.settings.routers, config.settings.on_request, config.seed);
-        let retunes = events.clone();
+        let (files, file) = watch::channel(None);
+        let drainer = tokio::spawn(drains(drain.subscribe(), terms.subscribe(), events.clone()));
+        let retuner = tokio::spawn(retune(file, events.clone(), terms, drain.subscribe()));
         let follower = tokio::spawn(discovery::follow(discovery, zones, since, asking, events));
         let watcher = tokio::spawn(memory.watch(reclaims));
         let mut front = tokio::spawn(frontend::accept(listeners, door));
@@ -172,12 +172,7 @@
                             counters.sighup(true);
                             counters.classes(new.names.classes.iter().map(|class| class.name.as_str()));
                             moved.send_replace(new.discovery);
-                            // The module first: a request of a new class must find it there.
-                            if retunes.send(messages::Event::Retune(Box::new(new.clone()))).await.is_err() {
-                                break Err(io::Error::other("the module has ended"));
-                            }
-                            names.send_replace(Arc::new(new.names.clone()));
-                            tracing::info!("the configuration is read anew: {} classes", new.names.classes.len());
+                            files.send_replace(Some(new.clone()));
                             config = new;
                         }
                         Err(problem) => {
@@ -199,8 +194,15 @@
             let _ = tokio::time::timeout(LEAVE, member).await;
         }
         tracing::info!("counters: {counters}");
+        // By now each client's actor has ended, and with it whatever it had taken.
+        let open = counters.outstanding();
+        if open > 0 {
+            tracing::error!("ends with {open} requests unanswered");
+        }
         follower.abort();
         watcher.abort();
+        retuner.abort();
+        drainer.abort();
         if let Some(console) = console {
             console.abort();
         }
@@ -224,8 +226,37 @@
     peers::start(station, peers::Start { name, peers, clock, tally, draining }).map(Some)
 }
 
-/// The longest time that a class of requests is given.
-fn longest(config: &Config) -> Duration {
-    let longest = config.settings.classes.iter().map(|class| class.deadline.0).max();
-    longest.map_or(Duration::ZERO, |us| Duration::from_micros(us.max(0) as u64))
+/// Tells the module of a drain: what waits for hosts that hang has its answer before SIGKILL.
+async fn drains(
+    mut draining: watch::Receiver<Option<tokio::time::Instant>>,
+    terms: watch::Receiver<Arc<frontend::Terms>>,
+    events: mpsc::Sender<messages::Event>,
+) {
+    let Ok(Some(since)) = draining.wait_for(Option::is_some).await.map(|since| *since) else { return };
+    let by = since + terms.borrow().drain.answers;
+    // Fails only when the module has ended, and then so does the process.
+    let _ = events.send(messages::Event::Drains(by)).await;
+}
+
+/// Hands each file that was read anew to the module, and then to the door: a request of a new class must find it there.
+/// It waits for room in the module's mailbox, so that SIGTERM need not. The spans of a drain that has begun stay: whoever
+/// sent SIGTERM counts by the settings of that moment.
+async fn retune(
+    mut file: watch::Receiver<Option<Config>>,
+    events: mpsc::Sender<messages::Event>,
+    terms: watch::Sender<Arc<frontend::Terms>>,
+    draining: watch::Receiver<Option<tokio::time::Instant>>,
+) {
+    while file.changed().await.is_ok() {
+        let Some(new) = file.borrow_and_update().clone() else { continue };
+        let mut agreed = frontend::Terms::of(&new);
+        if events.send(messages::Event::Retune(Box::new(new))).await.is_err() {
+            return;
+        }
+        if draining.borrow().is_some() {
+            agreed.drain = terms.borrow().drain;
+        }
+        tracing::info!("the configuration is read anew: {} classes", agreed.names.classes.len());
+        terms.send_replace(Arc::new(agreed));
+    }
 }
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -15,6 +15,7 @@
 use dialect::Ask;
 use exchange::Exchange;
 use std::collections::{HashMap, VecDeque};
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::Arc;
@@ -104,6 +105,7 @@
             idle: VecDeque::new(),
             out: HashMap::new(),
             tasks: JoinSet::new(),
+            owed: HashMap::new(),
             tell: VecDeque::new(),
         };
         tokio::spawn(actor.run(mailbox, events, squeezed));
@@ -124,6 +126,36 @@
     event: Event,
 }
 
+/// What a task has to bring back. If it panics that is told for it: the module would wait for good.
+#[derive(Clone, Copy, Debug)]
+enum Owed {
+    Attempt { id: RequestId, attempt: u32, sent: Instant },
+    Probe { sent: Instant },
+}
+
+impl Owed {
+    /// Its end is not known: an attempt may have run.
+    fn lost(self, host: HostId) -> Done {
+        let since = |sent: Instant| Time(sent.elapsed().as_micros() as i64);
+        let event = match self {
+            Self::Attempt { id, attempt, sent } => Event::Ended(Box::new(AttemptEnd {
+                id,
+                attempt,
+                host,
+                outcome: Outcome::Reset,
+                latency: since(sent),
+                position: None,
+                role: None,
+                value: None,
+            })),
+            Self::Probe { sent } => {
+                Event::Probed(Probe { host, outcome: Outcome::Reset, latency: since(sent), report: None })
+            }
+        };
+        Done { connection: None, event }
+    }
+}
+
 struct Idle {
     connection: Connection,
     since: Instant,
@@ -161,6 +193,8 @@
     idle: VecDeque<Idle>,
     out: HashMap<(RequestId, u32), Stop>,
     tasks: JoinSet<Done>,
+    /// What each task is to bring back.
+    owed: HashMap<tokio::task::Id, Owed>,
     /// What the module's actor has had no room for yet.
     tell: VecDeque<Event>,
 }
@@ -176,9 +210,17 @@
             let retire = self.idle.front().map(|idle| idle.since + self.pool.retire_after);
             tokio::select! {
                 biased;
-                Some(done) = self.tasks.join_next() => match done {
-                    Ok(done) => self.done(done),
-                    Err(problem) => tracing::error!("an attempt's task: {problem}"),
+                Some(done) = self.tasks.join_next_with_id() => match done {
+                    Ok((task, done)) => {
+                        self.owed.remove(&task);
+                        self.done(done);
+                    }
+                    Err(problem) => {
+                        tracing::error!("an attempt's task: {problem}");
+                        if let Some(owed) = self.owed.remove(&problem.id()) {
+                            self.done(owed.lost(self.host));
+                        }
+                    }
                 },
                 Ok(permit) = events.reserve(), if !self.tell.is_empty() => {
                     if let Some(event) = self.tell.pop_front() {
@@ -228,7 +270,8 @@
                 let (stop, stopped) = Stop::new();
                 self.out.insert((attempt.id, attempt.attempt), stop);
                 let way = self.way();
-                self.tasks.spawn(try_once(self.host, attempt, way, stopped));
+                let owed = Owed::Attempt { id: attempt.id, attempt: attempt.attempt, sent: attempt.sent };
+                self.owes(owed, try_once(self.host, attempt, way, stopped));
             }
             Command::Cancel { id, attempt } => {
                 let stop = self.out.get_mut(&(id, attempt)).and_then(|stop| stop.cancel.take());
@@ -240,12 +283,18 @@
             }
             Command::Probe { sent } => {
                 let way = self.way();
-                self.tasks.spawn(probe(self.host, sent, way));
+                self.owes(Owed::Probe { sent }, probe(self.host, sent, way));
             }
             Command::LetGo => self.idle.clear(),
         }
     }
 
+    /// Starts what brings that back, whatever becomes of it.
+    fn owes(&mut self, owed: Owed, work: impl Future<Output = Done> + Send + 'static) {
+        let task = self.tasks.spawn(work).id();
+        self.owed.insert(task, owed);
+    }
+
     /// A connection that still stands, or what it takes to open one.
     fn way(&mut self) -> Way {
         let mut idle = None;
@@ -276,6 +325,9 @@
     /// The idle connection or a new one; the outcome if there is none in time.
     async fn open(&mut self, deadline: Instant) -> Result<Connection, Outcome> {
         // Looked at once more: from here to the query's first byte nothing else gets a turn.
+        if !*self.running.borrow() {
+            return Err(Outcome::ConnectFailed);
+        }
         if let Some(connection) = self.idle.take().filter(Connection::stands) {
             return Ok(connection);
         }
@@ -380,3 +432,61 @@
     let event = Event::Probed(Probe { host, outcome, latency, report });
     Done { connection: connection.filter(|_| good), event }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn host() -> Host {
+        let pool = Pool {
+            permits: Arc::new(Semaphore::new(4)),
+            squeeze: Arc::new(watch::channel(()).0),
+            connect_timeout: Duration::from_secs(1),
+            retire_after: Duration::from_secs(1),
+            reports: true,
+            counters: Arc::new(Counters::default()),
+        };
+        let address = "127.0.0.1:9".parse().unwrap();
+        Host {
+            host: HostId(3),
+            place: Place { address, protocol: Protocol::Postgres },
+            pool,
+            running: watch::channel(true).0,
+            idle: VecDeque::new(),
+            out: HashMap::new(),
+            tasks: JoinSet::new(),
+            owed: HashMap::new(),
+            tell: VecDeque::new(),
+        }
+    }
+
+    /// Its attempt comes back all the same, as one that may have run, and so does a probe.
+    #[tokio::test]
+    async fn a_task_that_panics_owes_nothing_in_the_end() {
+        let mut host = host();
+        let sent = Instant::now();
+        let (stop, _stopped) = Stop::new();
+        host.out.insert((RequestId(5), 1), stop);
+        host.owes(Owed::Attempt { id: RequestId(5), attempt: 1, sent }, async { panic!("on purpose") });
+        host.owes(Owed::Probe { sent }, async { panic!("on purpose") });
+        let (events, mut told) = mpsc::channel(4);
+        let (commands, mailbox) = mpsc::channel(4);
+        let squeezed = host.pool.squeeze.subscribe();
+        let actor = tokio::spawn(host.run(mailbox, events, squeezed));
+        let mut outcomes = Vec::new();
+        for _ in 0..2 {
+            outcomes.push(match told.recv().await.unwrap() {
+                Event::Ended(end) => {
+                    assert_eq!((end.id, end.attempt, end.host), (RequestId(5), 1, HostId(3)));
+                    ("attempt", end.outcome)
+                }
+                Event::Probed(probe) => ("probe", probe.outcome),
+                other => panic!("{other:?}"),
+            });
+        }
+        outcomes.sort_by_key(|(what, _)| *what);
+        assert_eq!(outcomes, [("attempt", Outcome::Reset), ("probe", Outcome::Reset)]);
+        drop(commands);
+        actor.await.unwrap();
+    }
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,6 +1,7 @@
 //! The program on sockets: conversations in the language of `scenario`.
 
 mod deployments;
+mod ending;
 mod fleet;
 mod leaving;
 mod memory;
--- a/tests/sockets/scenario/mod.rs
+++ b/tests/sockets/scenario/mod.rs
@@ -7,7 +7,7 @@
 //! ```text
 //! c1 send startup | ssl | cancel | sync | terminate | raw HEX | text SQL | read ID D | write ID D | own ID D
 //! c1 send part BYTES (so many of a long message)
-//! c1 expect ready | empty | value V | error CODE [DETAIL] | N | closed | silence MS;  c1 close | close half | close reset
+//! c1 expect ready | empty | value V | error CODE [DETAIL] | N | closed | gone (whatever comes before) | silence MS;  c1 close | close half | close reset
 //! c1 expect within MS ...: the same, but no later than that
 //! h1 expect WORDS (a query holding them all) | closed | silence MS;  h1 close
 //! h1 send hold (new connections hear nothing until `h1 send release`);  h1 expect knock (one has come)
@@ -16,7 +16,7 @@
 //! list send NAME STATUS | chunk TEXT (as it stands, but for `@h1`, the address of h1, and `\n`);  list close
 //! list send mute (calls that come hear nothing) | speak (later ones do again) | answer (also the last of those)
 //! list expect WORDS (a request holding them all) | within MS WORDS (no later than that)
-//! proxy send TERM | HUP;  proxy expect exit CODE | log WORDS | figures WORDS (among its counters, sooner or later)
+//! proxy send TERM | HUP;  proxy expect exit CODE [by MS from SIGTERM on] | log WORDS | figures WORDS (among its counters, sooner or later)
 //! new send start (a second program beside the first: the same addresses, its own console) | TERM | HUP
 //! new expect exit CODE | log WORDS
 //! operator send health | stats | quiesce | resume (a call at the console);  operator expect WORDS (in its answer)
@@ -31,6 +31,7 @@
 
 mod tds;
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -282,6 +283,8 @@
     child: Child,
     file: PathBuf,
     log: Receiver<String>,
+    /// When it was last sent SIGTERM.
+    told: Cell<Option<Instant>>,
 }
 
 impl Program {
@@ -321,7 +324,7 @@
         let (sender, log) = channel();
         let lines = BufReader::new(child.stderr.take().unwrap()).lines();
         std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| sender.send(line)));
-        Self { child, file, log }
+        Self { child, file, log, told: Cell::new(None) }
     }
 
     pub fn id(&self) -> u32 {
@@ -342,13 +345,22 @@
     /// Sends it a signal by name: `TERM`, `HUP`.
     fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
+        if name == "TERM" && self.told.get().is_none() {
+            self.told.set(Some(Instant::now()));
+        }
         assert!(Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap().success());
     }
 
     /// `exit CODE` or `log WORDS`, as a scenario words it.
     fn expect(&mut self, what: &str) {
         match what.split_once(' ') {
-            Some(("exit", code)) => assert_eq!(self.exit().to_string(), code),
+            Some(("exit", code)) => {
+                let (code, by) = code.split_once(" by ").unwrap_or((code, "8000"));
+                assert_eq!(self.exit().to_string(), code);
+                let by = Duration::from_millis(by.parse().unwrap());
+                let took = self.told.get().map_or(Duration::ZERO, |told| told.elapsed());
+                assert!(took <= by, "it took {took:?} from SIGTERM on");
+            }
             Some(("log", words)) => drop(self.log(words)),
             Some(("figures", words)) => {
                 let until = Instant::now() + PATIENCE;
@@ -708,6 +720,7 @@
             return assert_eq!(&byte, b"N");
         }
         "closed" => return assert!(read_message(stream).is_none(), "the connection is still open"),
+        "gone" => return while read_message(stream).is_some() {},
         _ => {}
     }
     let mut raw = Vec::new();
