--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -504,7 +504,7 @@
         if !allowed || !self.may_repeat(open, Some(host.zone)) || !self.cold_room(id, host, open) {
             return None;
         }
-        // What can be repeated needs no proof that its host still answers; where nobody can be asked there is none.
+        // What can be repeated needs no proof that its host answers; where nobody can be asked there is none.
         let unproven = class.repeat != Repeat::Unsafe || !self.s.can_ask();
         let recent = unproven || host.alive.is_some_and(|at| self.now.0 - at.0 <= EVIDENCE_US);
         match (host.role, class.freshness) {
@@ -965,7 +965,7 @@
         if part >= 1.0 {
             return true;
         }
-        // Of what hosts serve, not of what comes again after refusals, nor of further attempts, which add to that.
+        // Of what hosts serve, not of what comes again after refusals; further attempts would add to that.
         let load = self.loads.get(&open.group).copied().unwrap_or_default();
         let able = self.s.fall_multiple * part * load.part_of_one(self.needs_primary(open));
         open.attempts == 0 && Self::luck(open, id.0, 0) < COLD_SAFETY * able
