--- a/tests/sockets/scenario/mod.rs
+++ b/tests/sockets/scenario/mod.rs
@@ -37,7 +37,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU8, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, Ordering::Relaxed};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -305,8 +305,12 @@
         operator: Option<&str>,
         more: &[(&str, &str)],
     ) -> Self {
+        // Two that start in one moment must not share a file.
+        static FILES: AtomicU64 = AtomicU64::new(0);
         let stamp = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos();
-        let file = std::env::temp_dir().join(format!("wheelpier-{}-{stamp}.json", std::process::id()));
+        let number = FILES.fetch_add(1, Relaxed);
+        let name = format!("wheelpier-{}-{stamp}-{number}.json", std::process::id());
+        let file = std::env::temp_dir().join(name);
         std::fs::write(&file, config).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_wheelpier"));
         if let Some(text) = operator {
@@ -441,7 +445,8 @@
         let until = Instant::now() + PATIENCE;
         let last = if wire == Wire::Tds { tds } else { listen };
         while TcpStream::connect(last).is_err() {
-            assert!(Instant::now() < until, "the proxy does not listen");
+            let heard = || program.log.try_iter().collect::<Vec<_>>().join("\n");
+            assert!(Instant::now() < until, "the proxy does not listen: {}", heard());
             std::thread::sleep(Duration::from_millis(10));
         }
         let (left, clients) = (Vec::new(), HashMap::new());
--- a/tests/sockets/watching.rs
+++ b/tests/sockets/watching.rs
@@ -152,3 +152,48 @@
     );
     play(1, &text);
 }
+
+/// What waits for a connection that comes up late goes nowhere once its host drains.
+#[test]
+fn a_drain_told_while_a_connection_comes_up() {
+    let text = "
+        list expect follow
+        h1 send hold
+        c1 send startup
+        c1 expect ready
+        c1 send read q1 2900
+        h1 expect knock
+        proxy expect figures sent=1
+        list send h1 draining
+        proxy expect figures lists=2 connect_failed=1
+        h1 send release
+        h1 expect silence 300
+        list send h1 up                     # and goes there once it is back
+        h1 expect id=q1";
+    play(1, text);
+}
+
+/// What waits for one of the nine descriptors that all hosts share goes nowhere once its host drains.
+#[test]
+fn a_drain_told_while_a_place_is_awaited() {
+    let takes = "h1 expect c=any\n".repeat(9);
+    let text = format!(
+        "
+        list expect follow
+        c1-10 send startup
+        c1-10 expect ready
+        c1 send read q1 2900
+        h1 expect id=q1
+        h1 send value one primary
+        c1 expect value one
+        c1-9 send read r@ 2900
+        {takes}
+        c10 send read q10 2900
+        proxy expect figures sent=11
+        list send h1 draining
+        proxy expect figures lists=2
+        h1 close
+        h1 expect silence 300"
+    );
+    play(1, &text);
+}
