Let no scenario lose its port to another one's start

Seen in the runs of fifty under load (load average 22), twice in some 18 x 58 scenarios: the proxy did not listen; with the log in the message: console 127.193.192.12:33283: Address already in use. The address belongs to that scenario alone. Ruled out: two configurations in one file (numbered since; it came again), connections in TIME_WAIT (there were none). Cause: between fork and exec a child of another scenario's start holds the port that this one has just let go of. Ports are looked for and programs started one at a time.

--- a/tests/sockets/scenario/mod.rs
+++ b/tests/sockets/scenario/mod.rs
@@ -72,6 +72,20 @@
     SocketAddr::from(([127, high | 128, low, SCENARIOS.fetch_add(1, Relaxed)], 0))
 }
 
+/// Held while a port is looked for and while a program is started: between its fork and its exec a child holds all
+/// sockets of its parent, and a port that another scenario has just let go of would still be taken.
+static STARTS: Mutex<()> = Mutex::new(());
+
+fn starts() -> std::sync::MutexGuard<'static, ()> {
+    STARTS.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+/// A port that is free, at an address of the scenario's own.
+fn own_port() -> SocketAddr {
+    let _alone = starts();
+    TcpListener::bind(own_address()).unwrap().local_addr().unwrap()
+}
+
 fn unix_ms() -> i64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as i64
 }
@@ -318,6 +332,7 @@
             std::fs::write(&operator, text).unwrap();
             command.arg("--operator").arg(operator);
         }
+        let alone = starts();
         let mut child = command
             .envs([("GW_NAME", "n0"), ("GW_LISTEN", listen), ("GW_DISCOVERY", discovery)])
             .env("GW_CONFIG", &file)
@@ -325,6 +340,7 @@
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
+        drop(alone);
         let (sender, log) = channel();
         let lines = BufReader::new(child.stderr.take().unwrap()).lines();
         std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| sender.send(line)));
@@ -352,7 +368,10 @@
         if name == "TERM" && self.told.get().is_none() {
             self.told.set(Some(Instant::now()));
         }
-        assert!(Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap().success());
+        let alone = starts();
+        let mut kill = Command::new("kill").args([&format!("-{name}"), &pid]).spawn().unwrap();
+        drop(alone);
+        assert!(kill.wait().unwrap().success());
     }
 
     /// `exit CODE` or `log WORDS`, as a scenario words it.
@@ -427,9 +446,9 @@
     fn start(wire: Wire, hosts: usize, more: &str, settings: &str) -> Self {
         let hosts: Vec<Host> = (0..hosts).map(|n| Host::start(wire, n == 0)).collect();
         let list = List::start();
-        let listen = TcpListener::bind(own_address()).unwrap().local_addr().unwrap();
-        let tds = TcpListener::bind(own_address()).unwrap().local_addr().unwrap();
-        let console = TcpListener::bind(own_address()).unwrap().local_addr().unwrap();
+        let listen = own_port();
+        let tds = own_port();
+        let console = own_port();
         let operator = format!("hosts: {{default: tds}}\nlisteners: [{{protocol: tds, address: '{tds}'}}]\n");
         let operator = if wire == Wire::Tds { operator + more } else { more.to_owned() };
         let operator = Some(&operator[..]).filter(|text| !text.is_empty());
@@ -486,7 +505,7 @@
             ("w", _) => std::thread::sleep(Duration::from_millis(verb.parse().unwrap())),
             ("o", "send") => self.called = self.call(what),
             ("n", "send") if what == "start" => {
-                let console = TcpListener::bind(own_address()).unwrap().local_addr().unwrap().to_string();
+                let console = own_port().to_string();
                 let (listen, discovery) = (self.listen.to_string(), self.list.address.to_string());
                 let more = [("GW_CONSOLE", &console[..])];
                 self.new = Some(Program::start_among(&self.config, &listen, &discovery, None, &more));
