--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -58,7 +58,7 @@
 /// Further attempts for each first one, and the most saved up: retries must not double a load.
 const RETRY_BUDGET: (f64, f64) = (0.1, 10.0);
 /// Part of the cold budget that is used: other routers' chance and the odd costly request need the rest.
-const COLD_SAFETY: f64 = 0.5;
+const COLD_SAFETY: f64 = 0.75;
 /// Requests of a class that find no host before the others wait for the next look: queues must not eat CPU.
 const STUCK: u32 = 16;
 /// Session tokens remembered; older ones are folded into one for each group that stands for them all.
