Write no read past what proves its host fresh, and serve no answer that tells too old a position

Need: where ledger hosts answer from what they have (`checks = none`: Fes, harbour-notes), the age of data is the proxy's to keep. Read as an ending: what proves a replica fresh enough ends 500 ms after the position it told, but the module checked that at its decision only. A connection that comes up late (up to connectTimeout) or a place that is awaited (up to the deadline) let the query's last byte leave after the proof had run out; and an answer of a former primary was served whatever position came with it. Sites whose hosts check are not concerned.

Seen: forced on sockets, a connection held back for 620 ms under a bound of 600 ms got the read; an answer 900 ms old under a bound of 500 ms reached its client.

Change: a send carries until when it may be written (the told position plus the bound) and what its answer has to be from. A host's actor gives an attempt back as moot when its connection comes too late, and keeps the connection; the module's actor turns a too old answer into the outcome `stale`, which has run: a harmless read goes elsewhere, one that must not be repeated fails.

--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -461,7 +461,7 @@
     let name = |id: RequestId| instance.names.get(&id).map_or("", |name| name.text.as_str());
     let mut over = None;
     let _ = match action {
-        Action::Send { id, host: to, timeout } => {
+        Action::Send { id, host: to, timeout, .. } => {
             let timeout = timeout.map_or("0".to_owned(), |t| seconds(t).to_string());
             let done = writeln!(out, "attempt\t{router}\t{}\t{}\t{timeout}", name(id), host(to));
             if let Some(name) = instance.names.get_mut(&id) {
--- a/crates/decisions/src/check.rs
+++ b/crates/decisions/src/check.rs
@@ -88,6 +88,7 @@
             goal_worst_class: 0.0,
             when_behind: WhenBehind::Off,
             answers_stamped: true,
+            answers_checked: false,
             remembered: false,
             list_role: ListRole::Late,
             reports: Reports::Inline,
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -99,6 +99,55 @@
     Cancelled,
     Moot,
     Miss,
+    /// Answered, from data older than its request allows: it has run, and nobody is given that answer.
+    Stale,
+}
+
+/// How recent the data behind an answer has to be.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Recent {
+    /// Whatever there is.
+    #[default]
+    Any,
+    /// All up to that position.
+    From(Position),
+    /// All up to so long before the request's last byte was written.
+    Within(Time),
+}
+
+impl Recent {
+    /// What a class asks for, where its session's last write stands at `token`.
+    pub fn of(freshness: Freshness, token: Position) -> Self {
+        match freshness {
+            Freshness::Bounded(bound) => Self::Within(bound),
+            _ if token.0 == i64::MIN => Self::Any,
+            _ => Self::From(token),
+        }
+    }
+
+    /// The position that is needed by a request written at that moment; the least of all where anything will do.
+    pub fn need(self, written: Time) -> Position {
+        match self {
+            Self::Any => Position(i64::MIN),
+            Self::From(position) => position,
+            Self::Within(bound) => Position(written.0 - bound.0),
+        }
+    }
+
+    /// Whether an answer that tells this position is recent enough for a request written at that moment. One that tells
+    /// none is not, but where anything will do.
+    pub fn met(self, told: Option<Position>, written: Time) -> bool {
+        self == Self::Any || told.is_some_and(|told| told >= self.need(written))
+    }
+
+    /// Until when a request may be written to a host that is known to stand at that position; for good where nothing is
+    /// said.
+    pub fn until(self, known: Position) -> Option<Time> {
+        match self {
+            Self::Within(bound) => Some(Time(known.0.saturating_add(bound.0))),
+            _ => None,
+        }
+    }
 }
 
 /// What a host does with a read it is too far behind for.
@@ -156,6 +205,8 @@
     pub goal_worst_class: f64,
     pub when_behind: WhenBehind,
     pub answers_stamped: bool,
+    /// Whether an answer that tells too old a position is kept from its client: where hosts answer from what they have.
+    pub answers_checked: bool,
     pub remembered: bool,
     pub list_role: ListRole,
     pub reports: Reports,
@@ -350,6 +401,10 @@
         id: RequestId,
         host: HostId,
         timeout: Option<Time>,
+        /// What its answer must be from, where answers are checked.
+        recent: Recent,
+        /// It must be written by then or not at all: later nothing shows its host to be recent enough.
+        until: Option<Time>,
     },
     Refuse {
         id: RequestId,
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -355,7 +355,7 @@
                 open.may_have_run = Some((attempt.sent, self.hosts.get(&r.host).map_or(0, |h| h.zone)));
             }
             open.written |= !matches!(r.outcome, Outcome::ConnectFailed | Outcome::Moot);
-            if r.outcome == Outcome::Miss {
+            if matches!(r.outcome, Outcome::Miss | Outcome::Stale) {
                 open.missed.push(r.host);
             }
             // What errs everywhere is no host's fault, and full hosts are not helped by more of the same.
@@ -487,12 +487,9 @@
         host.listed == HostState::Running || (dropped && self.s.removal_not_binding)
     }
 
-    /// The position that this read needs if it is sent now.
-    fn need(&self, open: &Open) -> Position {
-        match self.s.classes[open.class].freshness {
-            Freshness::Bounded(bound) => Position(self.now.0 - bound.0),
-            _ => open.token,
-        }
+    /// How recent the data must be that this read is answered from.
+    fn recent(&self, open: &Open) -> Recent {
+        Recent::of(self.s.classes[open.class].freshness, open.token)
     }
 
     /// Whether the rules let this host take this request now, and on what evidence.
@@ -518,7 +515,7 @@
             (_, Freshness::Write) => return None,
             _ => {}
         }
-        let need = self.need(open);
+        let need = self.recent(open).need(self.now);
         if class.freshness == Freshness::Any
             || need.0 == i64::MIN
             || (host.known >= need && !self.is_primary(host))
@@ -704,7 +701,7 @@
     /// Where replicas do not check reads, one that may have caught up is asked first and the read held.
     fn awaits_probe(&mut self, id: RequestId, actions: &mut Vec<Action>) -> bool {
         let Some(open) = self.open.get(&id) else { return false };
-        let need = self.need(open);
+        let need = self.recent(open).need(self.now);
         let asks = self.s.can_ask() && self.s.checks_reads().is_none() && !self.needs_primary(open);
         if need.0 == i64::MIN || !asks {
             return false;
@@ -727,7 +724,11 @@
     }
 
     fn send(&mut self, id: RequestId, host_id: HostId, actions: &mut Vec<Action>) {
+        let Some(recent) = self.open.get(&id).map(|open| self.recent(open)) else { return };
         let (Some(open), Some(host)) = (self.open.get_mut(&id), self.hosts.get_mut(&host_id)) else { return };
+        // A connection may take long to open, and no host is bound to keep up meanwhile.
+        let checked = self.s.when_behind != WhenBehind::Off || matches!(host.role, Some((Role::Primary, _)));
+        let until = if checked { None } else { recent.until(host.known) };
         let number = open.attempts;
         open.attempts += 1;
         open.out += 1;
@@ -735,7 +736,7 @@
         host.rest.tried(self.now, REST_US.0);
         let attempt = Attempt { host: host_id, class: open.class, sent: self.now, dropped: false };
         self.out.insert((id, number), attempt);
-        actions.push(Action::Send { id, host: host_id, timeout: None });
+        actions.push(Action::Send { id, host: host_id, timeout: None, recent, until });
     }
 
     // ---- Admission -------------------------------------------------------------------------------------
@@ -846,7 +847,7 @@
             _ => {}
         }
         match r.outcome {
-            Outcome::Ok | Outcome::Miss | Outcome::Error => {
+            Outcome::Ok | Outcome::Miss | Outcome::Stale | Outcome::Error => {
                 host.rest.answered();
                 host.alive = Some(self.now);
             }
--- a/crates/decisions/src/settings.rs
+++ b/crates/decisions/src/settings.rs
@@ -279,6 +279,8 @@
             BehindWord::Wait => WhenBehind::Wait(span(p.family_info.wait)),
         },
         answers_stamped: p.family_info.answers_stamped,
+        // Whoever passes answers on says so: a simulator does that by itself.
+        answers_checked: false,
         remembered: matches!(p.family_info.write_marks, MarksWord::Remembered),
         list_role: match p.family_info.role_in_list {
             ListRoleWord::Late => ListRole::Late,
--- a/crates/decisions/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -136,3 +136,57 @@
     let (_, sent) = world.ask(1, Some(MS));
     assert!(!sends(&sent).contains(&1), "{sent:?}");
 }
+
+fn until(actions: &[Action]) -> Vec<Option<Time>> {
+    let until = |a: &Action| match a {
+        Action::Send { until, .. } => Some(*until),
+        _ => None,
+    };
+    actions.iter().filter_map(until).collect()
+}
+
+#[test]
+fn a_bounded_read_is_to_be_written_while_what_proves_its_host_stands() {
+    let mut world = World::known(settings(), 2);
+    let (_, sent) = world.ask(2, None);
+    assert_eq!((sends(&sent), until(&sent)), (vec![1], vec![Some(Time(world.now - 10 * MS + 800 * MS))]));
+    // The primary stands at the present, and a host that checks turns away what it may not answer.
+    let mut world = World::known(settings(), 1);
+    assert_eq!(until(&world.ask(2, None).1), [None]);
+    let mut world = World::known(Settings { when_behind: WhenBehind::Refuse, ..settings() }, 2);
+    assert_eq!(until(&world.ask(2, None).1), [None]);
+}
+
+#[test]
+fn a_read_whose_answer_was_too_old_goes_elsewhere_only_if_it_may_run_twice() {
+    for (repeat, again) in [(Repeat::Safe, true), (Repeat::Unsafe, false)] {
+        let mut all = settings();
+        all.classes[2].repeat = repeat;
+        let mut world = World::known(all, 2);
+        let (id, sent) = world.ask(2, None);
+        assert_eq!(sends(&sent), [1]);
+        world.now += 700 * MS;
+        let mut done = world.reply(id, 1, Outcome::Stale, Some(Role::Replica));
+        done.extend(world.wait(50));
+        assert_eq!(!sends(&done).is_empty(), again, "{done:?}");
+        assert_eq!(matches!(finals(&done)[..], [Action::Fail { .. }]), !again, "{done:?}");
+    }
+}
+
+#[test]
+fn what_an_answer_must_be_from_counts_from_the_last_byte_written() {
+    let written = Time(10_000 * MS);
+    let at = |ms: i64| Some(Position(ms * MS));
+    let bounded = Recent::of(Freshness::Bounded(Time(500 * MS)), Position(i64::MIN));
+    assert!(
+        bounded.met(at(9_500), written) && !bounded.met(at(9_499), written) && !bounded.met(None, written)
+    );
+    let session = Recent::of(Freshness::Session, Position(9_000 * MS));
+    assert!(
+        session.met(at(9_000), written) && !session.met(at(8_999), written) && !session.met(None, written)
+    );
+    for anything in [(Freshness::Any, i64::MIN), (Freshness::Session, i64::MIN), (Freshness::Write, i64::MIN)]
+    {
+        assert!(Recent::of(anything.0, Position(anything.1)).met(None, written), "{anything:?}");
+    }
+}
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -408,7 +408,7 @@
 
     fn act(&mut self, router: usize, action: Action) {
         match action {
-            Action::Send { id, host, timeout } => self.send(router, id.0, host.0 as usize, timeout),
+            Action::Send { id, host, timeout, .. } => self.send(router, id.0, host.0 as usize, timeout),
             Action::Refuse { id, .. } | Action::Fail { id } => self.answer(router, id.0, false),
             Action::Cancel { id, attempt } => self.ended(router, id.0, attempt, Outcome::Cancelled, None),
             Action::Timer { at, token } => self.later(router, at.0, Own::Rings(token)),
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -5,7 +5,7 @@
 pub use operator::{HostProtocols, Operator, OperatorError, Peers};
 
 use crate::budget::plan::{ClassWorth, Figures, Plan};
-use crate::interface::{Class, Freshness, HostState, Repeat, Settings};
+use crate::interface::{Class, Freshness, HostState, Repeat, Settings, WhenBehind};
 use crate::listing::{Listing, RawListing};
 use crate::pgwire;
 use crate::protocol::Protocol;
@@ -320,7 +320,8 @@
         let console = console.map(|(text, key)| address(&text, key)).transpose()?;
         let seed = seed(file.seed.as_ref())?;
         let text = file.settings.to_string();
-        let (settings, reading) = settings::read(&text).map_err(|e| wrong("settings", e))?;
+        let (mut settings, reading) = settings::read(&text).map_err(|e| wrong("settings", e))?;
+        settings.answers_checked = settings.answers_stamped && settings.when_behind == WhenBehind::Off;
         crate::check::check(&settings).map_err(|e| wrong(&format!("settings.{}", e.key), e.problem))?;
         let more: SettingsNames = serde_json::from_value(file.settings).map_err(|e| wrong("settings", e))?;
         let seconds = |key: &str, value: f64| match Duration::try_from_secs_f64(value) {
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -29,7 +29,7 @@
     turned: [AtomicU64; REASONS.len()],
     ended: [AtomicU64; 4],
     sent: AtomicU64,
-    outcomes: [AtomicU64; 9],
+    outcomes: [AtomicU64; 10],
     connects: AtomicU64,
     probes: AtomicU64,
     lists: AtomicU64,
@@ -51,8 +51,8 @@
 const DISPOSITIONS: [&str; 3] = ["succeeded", "declined", "aborted"];
 
 const ENDS: [&str; 4] = ["served", "refused", "failed", "left"];
-const OUTCOMES: [&str; 9] =
-    ["ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot", "miss"];
+const OUTCOMES: [&str; 10] =
+    ["ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot", "miss", "stale"];
 
 fn add(counter: &AtomicU64) {
     counter.fetch_add(1, Relaxed);
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -9,8 +9,8 @@
 use crate::config::Config;
 use crate::counters::{Counters, Ended};
 use crate::interface::{
-    Action, Event as Told, Freshness, HostEntry, HostId, HostState, KeyScope, ListKind, Outcome, Repeat,
-    Reply, RequestId, SettingsError, Time,
+    Action, Event as Told, Freshness, HostEntry, HostId, HostState, KeyScope, ListKind, Outcome, Recent,
+    Repeat, Reply, RequestId, Role, SettingsError, Time,
 };
 use crate::listing::{Listed, Listing};
 use crate::reasons::Reason;
@@ -42,6 +42,8 @@
     last_call: Option<Key>,
     /// The host of each attempt.
     sent: Vec<HostId>,
+    /// What an answer to it must be from.
+    recent: Recent,
     out: u32,
     write: bool,
     /// Its class, by number, as the settings at its arrival had it.
@@ -232,6 +234,7 @@
             client: Some(client),
             last_call,
             sent: Vec::new(),
+            recent: Recent::Any,
             out: 0,
             write,
             class,
@@ -306,7 +309,8 @@
     }
 
     async fn ended(&mut self, end: AttemptEnd) {
-        let AttemptEnd { id, attempt, host, outcome, latency, position, role, value } = end;
+        let outcome = if self.stale(&end) { Outcome::Stale } else { end.outcome };
+        let AttemptEnd { id, attempt, host, latency, position, role, value, .. } = end;
         self.counters.outcome(outcome);
         self.back(host);
         let mut served = None;
@@ -330,6 +334,16 @@
         self.forget(id);
     }
 
+    /// Whether an answer is too old for its request, where hosts leave that to us. The bound runs from the last byte of
+    /// the query, which may have waited for its connection for long after the decision; a primary stands at the present.
+    fn stale(&self, end: &AttemptEnd) -> bool {
+        let checked = self.config.settings.answers_checked && end.outcome == Outcome::Ok;
+        let held = self.table.get(&end.id).filter(|held| checked && !held.write);
+        let Some((held, written)) = held.zip(end.written) else { return false };
+        let told = end.position.map(|stamp| stamp.rounded(false));
+        end.role != Some(Role::Primary) && !held.recent.met(told, self.clock.at(written))
+    }
+
     fn writes(&self, id: RequestId) -> bool {
         self.table.get(&id).is_some_and(|held| held.write)
     }
@@ -434,7 +448,10 @@
 
     async fn act(&mut self, action: Action) {
         match action {
-            Action::Send { id, host, timeout } => self.send(id, host, timeout).await,
+            Action::Send { id, host, timeout, recent, until } => {
+                let until = until.map(|at| self.clock.moment(at));
+                self.send(id, host, timeout, recent, until).await;
+            }
             Action::Refuse { id, retry_after } => {
                 if let Some(held) = self.table.get(&id) {
                     let class = self.config.names.classes.get(held.class).map_or("", |c| c.name.as_str());
@@ -472,7 +489,14 @@
         }
     }
 
-    async fn send(&mut self, id: RequestId, host: HostId, timeout: Option<Time>) {
+    async fn send(
+        &mut self,
+        id: RequestId,
+        host: HostId,
+        timeout: Option<Time>,
+        recent: Recent,
+        until: Option<Instant>,
+    ) {
         let now = Instant::now();
         let limit = self.config.max_attempts;
         let Some(held) = self.table.get_mut(&id) else {
@@ -480,6 +504,7 @@
         };
         let attempt = held.sent.len() as u32;
         held.sent.push(host);
+        held.recent = recent;
         held.out += 1;
         let member = self.members.get_mut(&host);
         let moot = held.client.is_none() || now >= held.deadline || attempt >= limit;
@@ -497,7 +522,7 @@
         self.counters.sent();
         let statement = held.statement.clone();
         member.out += 1;
-        let attempt = upstream::Attempt { id, attempt, statement, sent: now, deadline };
+        let attempt = upstream::Attempt { id, attempt, statement, sent: now, deadline, until };
         member.peer.tell(Command::Attempt(attempt)).await;
     }
 }
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -186,6 +186,8 @@
     pub host: HostId,
     pub outcome: Outcome,
     pub latency: Time,
+    /// When its last byte was written, if it was.
+    pub written: Option<Instant>,
     pub position: Option<Stamp>,
     pub role: Option<Role>,
     pub value: Option<Value>,
--- a/src/net/upstream/connection.rs
+++ b/src/net/upstream/connection.rs
@@ -94,7 +94,7 @@
         if self.stream.write_all(&out).await.is_err() {
             return false;
         }
-        exchange.written = true;
+        exchange.written = Some(Instant::now());
         written();
         drop(out);
         let mut whole_by = None;
--- a/src/net/upstream/exchange.rs
+++ b/src/net/upstream/exchange.rs
@@ -4,12 +4,13 @@
 use crate::net::messages::{Stamp, Value};
 use bytes::{Bytes, BytesMut};
 use std::ops::Range;
+use tokio::time::Instant;
 
 /// One request and what has come back for it.
 #[derive(Debug, Default)]
 pub(super) struct Exchange {
-    /// The request's last byte has been written.
-    pub written: bool,
+    /// When the request's last byte was written.
+    pub written: Option<Instant>,
     pub position: Option<Stamp>,
     pub role: Option<Role>,
     /// What brought the value, as it came.
@@ -136,7 +137,7 @@
         match self.error {
             Some(outcome) => outcome,
             None if self.told() => Outcome::Ok,
-            None if self.written => Outcome::Reset,
+            None if self.written.is_some() => Outcome::Reset,
             None => Outcome::ConnectFailed,
         }
     }
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -56,6 +56,8 @@
     pub statement: Statement,
     pub sent: Instant,
     pub deadline: Instant,
+    /// Not to be written after that.
+    pub until: Option<Instant>,
 }
 
 /// What the hosts' actors share: the descriptors that they may use, and the spans.
@@ -144,6 +146,7 @@
                 host,
                 outcome: Outcome::Reset,
                 latency: since(sent),
+                written: None,
                 position: None,
                 role: None,
                 value: None,
@@ -373,13 +376,18 @@
     let stopped = {
         let work = async {
             let open = way.open(a.deadline).await?;
+            if a.until.is_some_and(|until| Instant::now() > until) {
+                // The connection is as good as new, and nothing is known against its host.
+                connection = Some(open);
+                return Ok(None);
+            }
             let left = a.deadline.saturating_duration_since(Instant::now());
             let (open, counters) = (connection.insert(open), &way.pool.counters);
             let note = || {
                 written.store(true, Relaxed);
                 counters.forwarded();
             };
-            Ok(open.ask(&Ask::Statement(&a.statement, left), &mut exchange, note).await)
+            Ok(Some(open.ask(&Ask::Statement(&a.statement, left), &mut exchange, note).await))
         };
         tokio::select! {
             biased;
@@ -390,13 +398,14 @@
         }
     };
     let (outcome, good) = match stopped {
-        Ok(good) => (exchange.outcome(), good),
+        Ok(Some(good)) => (exchange.outcome(), good),
+        Ok(None) => (Outcome::Moot, true),
         // What the host has said whole counts, though the rest of its answer did not come in time.
         Err(Outcome::Timeout) if exchange.told() => (exchange.outcome(), false),
         // Stuck in the middle of the query: it never ran.
-        Err(Outcome::Timeout) if !exchange.written => (Outcome::ConnectFailed, false),
+        Err(Outcome::Timeout) if exchange.written.is_none() => (Outcome::ConnectFailed, false),
         // Called off before it was whole: its connection closes, and it never runs.
-        Err(Outcome::Cancelled) if !exchange.written => (Outcome::Moot, false),
+        Err(Outcome::Cancelled) if exchange.written.is_none() => (Outcome::Moot, false),
         Err(outcome) => (outcome, false),
     };
     let end = AttemptEnd {
@@ -405,6 +414,7 @@
         host,
         outcome,
         latency: Time(a.sent.elapsed().as_micros() as i64),
+        written: exchange.written,
         position: exchange.position,
         role: exchange.role,
         value: (outcome == Outcome::Ok).then(|| exchange.value()),
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -3,6 +3,7 @@
 mod deployments;
 mod ending;
 mod fleet;
+mod fresh;
 mod leaving;
 mod memory;
 mod proxy;
