Let a session with a write that may be committed unheard read what the primary has

The token of a session rose only with an answer that came, for a request that was still open.

Change: where hosts do not check reads, a session's read sees all there is while a write of the session is out, and for its class's deadline after one that ended without a word (state/unsure.rs, bounded); commits are remembered by attempt, so also once the request is over. Hosts that check are asked as before.

--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -142,6 +142,8 @@
     class: usize,
     sent: Time,
     dropped: bool,
+    /// The session whose write it is, and its group.
+    writes: Option<(SessionId, u32)>,
 }
 
 /// The decisions of one router.
@@ -305,9 +307,7 @@
         let class = &self.s.classes[r.class];
         let token = match class.freshness {
             Freshness::Fresh => Position(self.now.0),
-            Freshness::Session if self.s.remembered => {
-                r.session.map_or(self.sessions.floor(r.group), |key| self.sessions.token(key, r.group))
-            }
+            Freshness::Session if self.s.remembered => self.sessions.need(r.session, r.group, self.now),
             Freshness::Session => match r.since_write {
                 Some(ago) if ago.0 > 0 => Position(self.now.0 - ago.0 + ROUNDING_US),
                 _ => Position(i64::MIN),
@@ -347,10 +347,17 @@
         self.judge(&attempt, &r);
         self.make_room(&r, actions);
         let group = self.hosts.get(&r.host).map(|h| h.group);
+        let unrun =
+            matches!(r.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss);
+        if let Some((key, group)) = attempt.writes {
+            // No commit is ahead of the clock, but a session must not lose its token for such a one either.
+            let commit = r.position.map(|commit| commit.min(Position(self.now.0 + AHEAD_US)));
+            let later = Time(self.now.0 + self.s.classes[attempt.class].deadline.0);
+            let commit = commit.filter(|_| r.outcome == Outcome::Ok);
+            self.sessions.ended(key, group, commit, (!unrun).then_some(later));
+        }
         if let Some(open) = self.open.get_mut(&r.id) {
             open.out -= 1;
-            let unrun =
-                matches!(r.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss);
             if !unrun && open.may_have_run.is_none_or(|(sent, _)| attempt.sent < sent) {
                 open.may_have_run = Some((attempt.sent, self.hosts.get(&r.host).map_or(0, |h| h.zone)));
             }
@@ -368,12 +375,6 @@
                 open.spent = open.erred.len() > 1 || self.retry_budget < 1.0;
                 self.retry_budget = (self.retry_budget - 1.0).max(0.0);
             }
-            if r.outcome == Outcome::Ok && self.s.classes[open.class].freshness == Freshness::Write {
-                if let (Some(key), Some(commit)) = (open.session, r.position) {
-                    let group = open.group;
-                    self.remember(key, group, commit);
-                }
-            }
         }
         if r.closed || r.outcome == Outcome::Ok {
             self.close(r.id, actions);
@@ -471,14 +472,6 @@
         shown.map(|(_, id)| id).or_else(listed)
     }
 
-    fn remember(&mut self, key: SessionId, group: u32, commit: Position) {
-        // No commit is ahead of the clock, but a session must not lose its token for such a one either.
-        let commit = commit.min(Position(self.now.0 + AHEAD_US));
-        if self.s.remembered {
-            self.sessions.remember(key, group, commit);
-        }
-    }
-
     // ---- Eligibility: every send passes here -----------------------------------------------------------
 
     /// Not draining and not gone. We stop at once, so the grace is never needed.
@@ -733,7 +726,12 @@
         open.out += 1;
         host.in_flight += 1;
         host.rest.tried(self.now, REST_US.0);
-        let attempt = Attempt { host: host_id, class: open.class, sent: self.now, dropped: false };
+        let write = self.s.remembered && self.s.classes[open.class].freshness == Freshness::Write;
+        let writes = open.session.filter(|_| write).map(|key| (key, open.group));
+        if let Some((key, group)) = writes.filter(|_| self.s.checks_reads().is_none()) {
+            self.sessions.sent(key, group, self.now);
+        }
+        let attempt = Attempt { host: host_id, class: open.class, sent: self.now, dropped: false, writes };
         self.out.insert((id, number), attempt);
         actions.push(Action::Send { id, host: host_id, timeout: None, recent, until });
     }
--- a/crates/decisions/src/state/mod.rs
+++ b/crates/decisions/src/state/mod.rs
@@ -4,4 +4,5 @@
 pub mod heavy;
 pub mod sessions;
 pub mod telling;
+mod unsure;
 pub mod wheel;
--- a/crates/decisions/src/state/sessions.rs
+++ b/crates/decisions/src/state/sessions.rs
@@ -5,7 +5,8 @@
 //! not known is held to have written then. So a read is never sent to a replica that lacks its session's write; at
 //! worst it waits for, or goes to, one that has more than it needs.
 
-use crate::interface::{Position, SessionId};
+use super::unsure::Unsure;
+use crate::interface::{Position, SessionId, Time};
 use std::collections::BTreeMap;
 
 /// Generations that are kept. More forget more exactly, and make a look-up longer.
@@ -74,6 +75,7 @@
     each: usize,
     /// Sets' floors: the latest commit forgotten there.
     floors: BTreeMap<u32, i64>,
+    unsure: Unsure,
 }
 
 impl Sessions {
@@ -81,7 +83,8 @@
     pub fn new(entries: usize) -> Self {
         let each = (entries / GENERATIONS).max(1);
         let slots = (each * SLOTS_PER_ENTRY.0 / SLOTS_PER_ENTRY.1 + 1).next_power_of_two();
-        Self { generations: vec![Generation::new(slots)], each, floors: BTreeMap::new() }
+        let generations = vec![Generation::new(slots)];
+        Self { generations, each, floors: BTreeMap::new(), unsure: Unsure::default() }
     }
 
     /// A session's write has been committed in a set.
@@ -134,6 +137,27 @@
         }
     }
 
+    /// A session's write is sent to a set: until it has ended its reads must see all there is.
+    pub fn sent(&mut self, session: SessionId, set: u32, now: Time) {
+        self.unsure.sent(session, set, now);
+    }
+
+    /// It has ended: with a commit that is known, or without one, and may come to count until `later` if it is not known
+    /// that it never ran.
+    pub fn ended(&mut self, session: SessionId, set: u32, commit: Option<Position>, later: Option<Time>) {
+        commit.into_iter().for_each(|commit| self.remember(session, set, commit));
+        self.unsure.ended(session, set, later.filter(|_| commit.is_none()));
+    }
+
+    /// What a read that comes now must see: all there is where a write of its session may have been committed unheard.
+    pub fn need(&self, session: Option<SessionId>, set: u32, now: Time) -> Position {
+        match session {
+            Some(session) if self.unsure.is_in_doubt(session, set, now) => Position(now.0),
+            Some(session) => self.token(session, set),
+            None => self.floor(set),
+        }
+    }
+
     /// What a session that is not known is held to have written in a set.
     pub fn floor(&self, set: u32) -> Position {
         Position(self.floors.get(&set).copied().unwrap_or(i64::MIN))
--- a/crates/decisions/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -190,3 +190,63 @@
         assert!(Recent::of(anything.0, Position(anything.1)).met(None, written), "{anything:?}");
     }
 }
+
+/// A router before hosts that answer from what they have, with session 7 and its write out at the primary.
+fn writes_of_a_session(when_behind: WhenBehind) -> (World, RequestId) {
+    let mut all =
+        Settings { remembered: true, when_behind, reports: Reports::Off, may_probe: false, ..settings() };
+    all.classes[3].deadline = Time(1_000 * MS);
+    let mut world = World::known(all, 3);
+    let id = RequestId(900);
+    let write = Request { session: Some(SessionId(7)), ..Request::new(id, 3, 0, 1_000 * MS) };
+    assert_eq!(sends(&world.event(Event::Arrival(write))), [0]);
+    (world, id)
+}
+
+fn read_of_a_session(world: &mut World, id: u64) -> Vec<u32> {
+    let read = Request { session: Some(SessionId(7)), ..Request::new(RequestId(id), 1, 0, 1_000 * MS) };
+    sends(&world.event(Event::Arrival(read)))
+}
+
+/// Its host may have answered, and the answer be lost with the connection: nothing says that it was not committed.
+#[test]
+fn a_session_whose_write_is_out_or_ended_without_a_word_reads_at_the_primary() {
+    for outcome in [Outcome::Reset, Outcome::Timeout, Outcome::Cancelled] {
+        let (mut world, write) = writes_of_a_session(WhenBehind::Off);
+        world.now += 100 * MS;
+        assert_eq!(read_of_a_session(&mut world, 901), [0], "while it is out");
+        world.attempt(write, 0, 0, outcome, 100 * MS);
+        world.now += 500 * MS;
+        assert_eq!(read_of_a_session(&mut world, 902), [0], "{outcome:?}");
+        world.now += 1_000 * MS;
+        assert_ne!(read_of_a_session(&mut world, 903), [0], "no longer than a write may take");
+    }
+}
+
+#[test]
+fn a_session_whose_write_never_ran_reads_anywhere() {
+    for outcome in [Outcome::ConnectFailed, Outcome::Full, Outcome::Moot] {
+        let (mut world, write) = writes_of_a_session(WhenBehind::Off);
+        // Or it would be sent once more.
+        world.event(Event::ClientLeft(write));
+        world.attempt(write, 0, 0, outcome, 100 * MS);
+        assert_ne!(read_of_a_session(&mut world, 901), [0], "{outcome:?}");
+    }
+}
+
+/// The client has gone, or its time is over, when the host's answer comes: the session's next read must see it.
+#[test]
+fn a_commit_counts_for_its_session_though_its_request_is_over() {
+    let (mut world, write) = writes_of_a_session(WhenBehind::Off);
+    world.event(Event::ClientLeft(write));
+    world.now += 100 * MS;
+    world.attempt(write, 0, 0, Outcome::Ok, 100 * MS);
+    world.now += MS;
+    assert_eq!(read_of_a_session(&mut world, 901), [0]);
+}
+
+#[test]
+fn hosts_that_check_are_asked_as_ever_while_a_write_is_out() {
+    let (mut world, _) = writes_of_a_session(WhenBehind::Refuse);
+    assert_ne!(read_of_a_session(&mut world, 901), [0]);
+}
--- a/tests/sockets/fresh.rs
+++ b/tests/sockets/fresh.rs
@@ -151,3 +151,29 @@
     );
     play_in(&bounded(500, "side_effect"), 1, &text);
 }
+
+/// A session's write is out at the primary, and may be committed whatever becomes of its answer: its next read, which comes
+/// by another connection, goes there too and not to the idle replica.
+#[test]
+fn a_session_with_a_write_out_reads_at_the_primary() {
+    let text = "
+        list expect follow
+        list send h2 draining
+        proxy expect figures lists=2
+        c1-2 send startup
+        c1-2 expect ready
+        c1 send text INSERT INTO kv (name, content) VALUES ('k2', '\\x00') RETURNING content /* id=q0,c=write,t=acme,d=2900,k=8,cluster=0 */
+        h1 expect id=q0
+        h1 send value zero primary
+        c1 expect value zero
+        list send h2 up
+        proxy expect figures lists=3
+        c1 send write q1 2900
+        h1 expect id=q1
+        c2 send own q2 2900
+        h1 expect id=q2
+        h2 expect silence 20
+        h1 send value two primary
+        c2 expect value two";
+    play_in(&bounded(500, "pure"), 2, text);
+}
