--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,7 +9,7 @@
 //! to the primary.
 //!
 //! ```
-//! use wheelpier::{Action, Event, HostEntry, HostId, HostState, ListKind, Request, RequestId};
+//! use wheelpier::{Action, Event, HostEntry, HostId, HostState, ListKind, Recent, Request, RequestId};
 //! use wheelpier::{Router, Settings, Time};
 //!
 //! let mut router = Router::new(Settings::example(), 7).expect("the settings are sensible");
@@ -19,7 +19,8 @@
 //!
 //! let request = Request::new(RequestId(1), 0, 0, 1_000_000);
 //! router.handle(Time(5_000), Event::Arrival(request), &mut actions);
-//! let sent = Action::Send { id: RequestId(1), host: HostId(0), timeout: None };
+//! let (id, host) = (RequestId(1), HostId(0));
+//! let sent = Action::Send { id, host, timeout: None, recent: Recent::Any, until: None };
 //! assert!(actions.contains(&sent));
 //! ```
 #![forbid(unsafe_code)]
