--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -719,7 +719,8 @@
         let Some(recent) = self.open.get(&id).map(|open| self.recent(open)) else { return };
         let (Some(open), Some(host)) = (self.open.get_mut(&id), self.hosts.get_mut(&host_id)) else { return };
         // A connection may take long to open, and no host is bound to keep up meanwhile.
-        let checked = self.s.when_behind != WhenBehind::Off || matches!(host.role, Some((Role::Primary, _)));
+        let checks = self.s.checks_reads().is_some();
+        let checked = checks || matches!(host.role, Some((Role::Primary, _)));
         let until = if checked { None } else { recent.until(host.known) };
         let number = open.attempts;
         open.attempts += 1;
@@ -728,7 +729,7 @@
         host.rest.tried(self.now, REST_US.0);
         let write = self.s.remembered && self.s.classes[open.class].freshness == Freshness::Write;
         let writes = open.session.filter(|_| write).map(|key| (key, open.group));
-        if let Some((key, group)) = writes.filter(|_| self.s.checks_reads().is_none()) {
+        if let Some((key, group)) = writes.filter(|_| !checks) {
             self.sessions.sent(key, group, self.now);
         }
         let attempt = Attempt { host: host_id, class: open.class, sent: self.now, dropped: false, writes };
--- a/src/net/frontend/client.rs
+++ b/src/net/frontend/client.rs
@@ -10,12 +10,12 @@
 use crate::interface::RequestId;
 use crate::net::memory::Reclaim;
 use crate::net::messages::{Answer, Arrival, Event, Mail, Request};
+use crate::net::peek;
 use crate::protocol::Protocol;
 use crate::reasons::Reason;
 use bytes::BytesMut;
 use std::future::Future;
 use std::io;
-use std::mem::MaybeUninit;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
@@ -512,7 +512,7 @@
 /// Whether something has come that nobody has read. Asked of the system itself: where a timer ends a turn the runtime may
 /// not have looked at the socket yet, and a connection must not be closed on a request that was there before.
 fn unread(stream: &TcpStream) -> bool {
-    matches!(socket2::SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]), Ok(1..))
+    matches!(peek(stream), Ok(1..))
 }
 
 /// Comes when the client has ended its side, though what it said before is still unread. The readiness that tokio calls
--- a/src/net/upstream/connection.rs
+++ b/src/net/upstream/connection.rs
@@ -5,10 +5,10 @@
 use super::postgres::Postgres;
 use super::tds::Tds;
 use crate::interface::Outcome;
+use crate::net::peek;
 use crate::protocol::Protocol;
 use bytes::BytesMut;
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -71,9 +71,7 @@
     /// Whether an idle connection is still open and silent, as it has to be. Asks the socket itself: the
     /// runtime may not have seen yet that it was closed.
     pub fn stands(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let peeked = socket2::SockRef::from(&self.stream).peek(&mut byte);
-        matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        matches!(peek(&self.stream), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Asks, and reads the answer into `exchange`; false if the connection is of no further use. `written` is
--- a/tests/sockets/crossing.rs
+++ b/tests/sockets/crossing.rs
@@ -1,19 +1,19 @@
 //! What comes in one turn of the program with what would end it. The program is stopped (SIGSTOP) until both are there, and
 //! continued: it finds a request beside the eviction, the closing or the exit that was due.
 
-use crate::scenario::{play, play_in, settings};
+use crate::scenario::{play, play_in, settings_with};
 use rstest::rstest;
-use serde_json::{json, Value};
+use serde_json::json;
 
 /// The scenarios' settings where every class has that deadline, in milliseconds.
 fn within(longest: u64) -> String {
-    let mut all: Value = serde_json::from_str(&settings()).unwrap();
-    for grade in all["grades"].as_array_mut().unwrap() {
-        grade["deadline"] = json!(longest as f64 / 1e3);
-        // A host that is stopped with the program is late, and must not be spared for it.
-        grade["onTime"] = json!(longest as f64 / 1.1e3);
-    }
-    all.to_string()
+    settings_with(|all| {
+        for grade in all["grades"].as_array_mut().unwrap() {
+            grade["deadline"] = json!(longest as f64 / 1e3);
+            // A host that is stopped with the program is late, and must not be spared for it.
+            grade["onTime"] = json!(longest as f64 / 1.1e3);
+        }
+    })
 }
 
 /// All 22 seats are taken, and who has been here longest without asking for anything makes room for the next.
--- a/tests/sockets/ending.rs
+++ b/tests/sockets/ending.rs
@@ -1,18 +1,18 @@
 //! The end of the process: what it has taken is answered before SIGKILL, whatever the deadlines, and no connection is
 //! closed on a request that it has read.
 
-use crate::scenario::{play, play_in, settings};
+use crate::scenario::{play, play_in, settings_with};
 use rstest::rstest;
-use serde_json::{json, Value};
+use serde_json::json;
 
 /// The scenarios' settings with that longest deadline, in milliseconds.
 fn within(longest: u64) -> String {
-    let mut all: Value = serde_json::from_str(&settings()).unwrap();
-    for grade in all["grades"].as_array_mut().unwrap() {
-        grade["deadline"] = json!(longest as f64 / 1e3);
-        grade["onTime"] = json!(longest as f64 / 2e3);
-    }
-    all.to_string()
+    settings_with(|all| {
+        for grade in all["grades"].as_array_mut().unwrap() {
+            grade["deadline"] = json!(longest as f64 / 1e3);
+            grade["onTime"] = json!(longest as f64 / 2e3);
+        }
+    })
 }
 
 /// A host hangs. A request that waits for it, one that comes after SIGTERM, one whose client just connects, one that is
--- a/tests/sockets/fresh.rs
+++ b/tests/sockets/fresh.rs
@@ -2,24 +2,24 @@
 //! leave that to the proxy. Each crossing is forced: a connection is held back until what showed its host to be fresh
 //! enough has run out, and a host is made to tell another role and position than it had.
 
-use crate::scenario::{play_in, settings};
+use crate::scenario::{play_in, settings_with};
 use rstest::rstest;
-use serde_json::{json, Value};
+use serde_json::json;
 
 /// The scenarios' settings where reads of the class `any` may be answered from data so old, in milliseconds, and do what
 /// `repeat` says when repeated; hosts neither check nor can be asked.
 fn bounded(ms: u64, repeat: &str) -> String {
-    let mut all: Value = serde_json::from_str(&settings()).unwrap();
-    all["familyInfo"]["freshness"] = json!(["bounded", "session", "write"]);
-    all["familyInfo"]["classBound"] = json!([ms as f64 / 1e3, 0, 0]);
-    all["familyInfo"]["whenBehind"] = json!("off");
-    all["grades"][0]["repeat"] = json!(repeat);
-    all["report"] = json!({"how": "off", "fields": []});
-    all["limits"]["connectTimeout"] = json!(6.0);
-    all["limits"]["keepalive"] = json!(60.0);
-    // What a host is made to hold back is late, and must not keep others out.
-    all["grades"].as_array_mut().unwrap().iter_mut().for_each(|grade| grade["onTime"] = json!(2.9));
-    all.to_string()
+    settings_with(|all| {
+        all["familyInfo"]["freshness"] = json!(["bounded", "session", "write"]);
+        all["familyInfo"]["classBound"] = json!([ms as f64 / 1e3, 0, 0]);
+        all["familyInfo"]["whenBehind"] = json!("off");
+        all["grades"][0]["repeat"] = json!(repeat);
+        all["report"] = json!({"how": "off", "fields": []});
+        all["limits"]["connectTimeout"] = json!(6.0);
+        all["limits"]["keepalive"] = json!(60.0);
+        // What a host is made to hold back is late, and must not keep others out.
+        all["grades"].as_array_mut().unwrap().iter_mut().for_each(|grade| grade["onTime"] = json!(2.9));
+    })
 }
 
 /// A replica has told where it stands; a read that may go there waits for a connection that comes up late.
--- a/tests/sockets/leaving.rs
+++ b/tests/sockets/leaving.rs
@@ -1,19 +1,19 @@
 //! Clients that leave: what was not sent on for them by then never is. Each crossing is forced: a host holds back its
 //! greeting, an answer or a place, until the proxy's own counters show that the client has left.
 
-use crate::scenario::{play_in, settings};
+use crate::scenario::{play_in, settings_with};
 use rstest::rstest;
-use serde_json::{json, Value};
+use serde_json::json;
 
 /// The scenarios' settings where connections may take their time, and where an attempt may be called off or not.
 fn patient(cancel: bool) -> String {
-    let mut all: Value = serde_json::from_str(&settings()).unwrap();
-    all["limits"]["connectTimeout"] = json!(6.0);
-    all["limits"]["mayCancel"] = json!(cancel);
-    all["limits"]["keepalive"] = json!(60.0);
-    // What a host is made to hold back is late, and must not keep others out.
-    all["grades"].as_array_mut().unwrap().iter_mut().for_each(|grade| grade["onTime"] = json!(2.9));
-    all.to_string()
+    settings_with(|all| {
+        all["limits"]["connectTimeout"] = json!(6.0);
+        all["limits"]["mayCancel"] = json!(cancel);
+        all["limits"]["keepalive"] = json!(60.0);
+        // What a host is made to hold back is late, and must not keep others out.
+        all["grades"].as_array_mut().unwrap().iter_mut().for_each(|grade| grade["onTime"] = json!(2.9));
+    })
 }
 
 /// Its connection to the host is still coming up.
--- a/tests/sockets/scenario/mod.rs
+++ b/tests/sockets/scenario/mod.rs
@@ -33,6 +33,7 @@
 
 mod tds;
 
+use serde_json::Value;
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -67,6 +68,13 @@
     )
 }
 
+/// The same with something changed.
+pub fn settings_with(change: impl FnOnce(&mut Value)) -> String {
+    let mut all = serde_json::from_str(&settings()).unwrap();
+    change(&mut all);
+    all.to_string()
+}
+
 /// A loopback address of the scenario's own: of 127.0.0.1 another conversation might get the port in between.
 fn own_address() -> SocketAddr {
     static SCENARIOS: AtomicU8 = AtomicU8::new(1);
