Log each read's evidence: host, connection, position, role, times, requirement

One event at debug level now says for each attempt of a read what its answer told and on what it was served or withheld. Off, it costs one comparison of levels for each attempt.

--- a/src/net/core/attempts.rs
+++ b/src/net/core/attempts.rs
@@ -95,6 +95,7 @@
     /// Takes the end of an attempt: answers the request if it brought a value, and notifies the router.
     pub(super) async fn attempt_ended(&mut self, mut end: AttemptEnd) {
         let outcome = if self.is_stale(&end) { Outcome::Stale } else { end.outcome };
+        self.log_read(&end, outcome);
         let id = end.id;
         self.counters.attempt_ended(outcome);
         self.hosts.work_ended(end.host);
--- a/src/net/core/positions.rs
+++ b/src/net/core/positions.rs
@@ -56,6 +56,34 @@
             && !request.requirement.is_met_by(applied, self.clock.timestamp(written_at))
     }
 
+    /// Logs on what evidence the answer to a read is served or withheld.
+    pub(super) fn log_read(&self, end: &AttemptEnd, outcome: Outcome) {
+        if !tracing::enabled!(tracing::Level::DEBUG) {
+            return;
+        }
+        let Some(request) = self.requests.get(end.id).filter(|request| !request.is_write) else { return };
+        let position = end.position.map(|position| position.rounded(false));
+        let local_position = position.map(|position| self.host_clock.to_local_position(position));
+        tracing::debug!(
+            request_id = end.id.0,
+            class = request.class,
+            attempt = end.attempt,
+            host_id = end.host.0,
+            host = self.hosts.get(end.host).map(|handle| handle.name.as_str()),
+            connection_id = end.transfer.connection_id,
+            bytes_read = end.transfer.bytes_read,
+            outcome = ?outcome,
+            role = ?end.role,
+            position_us = position.map(|position| position.0),
+            local_position_us = local_position.map(|position| position.0),
+            clock_offset_us = self.host_clock.offset().0,
+            written_us = end.written_at.map(|at| self.clock.timestamp(at).0),
+            received_us = self.clock.now().0,
+            requirement = ?request.requirement,
+            "attempt of a read ended"
+        );
+    }
+
     fn is_write(&self, end: &AttemptEnd) -> bool {
         self.requests.get(end.id).is_some_and(|request| request.is_write)
     }
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -235,6 +235,17 @@
     pub role: Option<Role>,
     /// The value; only with [`Outcome::Ok`].
     pub value: Option<Value>,
+    /// How it was transferred, for the log.
+    pub transfer: Transfer,
+}
+
+/// How an attempt's query and answer were transferred.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Transfer {
+    /// The connection's number in log lines; none if there was no connection.
+    pub connection_id: Option<u64>,
+    /// Bytes that were read of the answer.
+    pub bytes_read: usize,
 }
 
 /// The end of a health check.
--- a/src/net/upstream/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -8,7 +8,7 @@
 use super::large::{LargeRow, Slot};
 use super::Attempt;
 use crate::interface::{HostId, Outcome, TimeDelta};
-use crate::net::messages::{AttemptEnd, CoreEvent};
+use crate::net::messages::{AttemptEnd, CoreEvent, Transfer};
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use tokio::sync::oneshot;
 use tokio::time::{sleep_until, Instant};
@@ -139,6 +139,10 @@
         let latency = TimeDelta::from(self.attempt.sent_at.elapsed());
         let Self { attempt, mut connection, exchange, slot, .. } = self;
         let (written_at, position, role) = (exchange.written_at, exchange.position, exchange.role);
+        let transfer = Transfer {
+            connection_id: connection.as_ref().map(Connection::id),
+            bytes_read: exchange.bytes_read,
+        };
         let large_row = match (exchange.large_row_bytes, slot, ending) {
             (Some(bytes), Some(slot), Ending::Answered(ConnectionStatus::Reusable)) => {
                 connection.take().map(|connection| LargeRow { connection, bytes, slot })
@@ -163,6 +167,7 @@
             position,
             role,
             value,
+            transfer,
         };
         Finished {
             connection: connection.filter(|_| status == ConnectionStatus::Reusable),
--- a/src/net/upstream/connection.rs
+++ b/src/net/upstream/connection.rs
@@ -12,6 +12,7 @@
 use crate::protocol::Protocol;
 use bytes::{BufMut, Bytes, BytesMut};
 use std::io;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::OwnedSemaphorePermit;
@@ -24,6 +25,9 @@
 /// How long after its first byte an answer is complete. Hosts write an answer at once, so that an incomplete one stays so.
 const ANSWER_COMPLETION_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Numbers the connections of this process, so that log lines of one can be told from those of another.
+static NEXT_CONNECTION_ID: AtomicU64 = AtomicU64::new(1);
+
 /// Whether a connection can be used after an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ConnectionStatus {
@@ -36,6 +40,7 @@
 /// A connection that has logged in. Holds its permit until it is closed.
 #[derive(Debug)]
 pub(super) struct Connection {
+    id: u64,
     stream: Socket,
     address: HostAddress,
     dialect: Box<dyn Dialect>,
@@ -57,6 +62,7 @@
         let connected = local_faults::retry_local_faults(until, connect).await;
         let stream = connected.ok_or(Outcome::ConnectFailed)?.map_err(|error| connect_outcome(&error))?;
         let mut connection = Self {
+            id: NEXT_CONNECTION_ID.fetch_add(1, Relaxed),
             stream,
             address,
             dialect: dialect(address.protocol),
@@ -85,6 +91,11 @@
         }
     }
 
+    /// Returns its number in log lines.
+    pub fn id(&self) -> u64 {
+        self.id
+    }
+
     /// Returns where it is connected to.
     pub fn address(&self) -> HostAddress {
         self.address
@@ -165,7 +176,8 @@
                 biased;
                 read = self.stream.read_buf(&mut self.read) => match read {
                     Ok(0) | Err(_) => return ConnectionStatus::Unusable,
-                    Ok(_) => {
+                    Ok(bytes) => {
+                        exchange.bytes_read += bytes;
                         complete_by.get_or_insert_with(|| Instant::now() + ANSWER_COMPLETION_TIMEOUT);
                     }
                 },
--- a/src/net/upstream/exchange.rs
+++ b/src/net/upstream/exchange.rs
@@ -14,6 +14,8 @@
 pub(super) struct Exchange {
     /// When the query's last byte was written; none if it was not.
     pub written_at: Option<Instant>,
+    /// Bytes that have been read of the answer.
+    pub bytes_read: usize,
     pub position: Option<ReportedPosition>,
     pub role: Option<Role>,
     /// Length of the row's message, if the row is to be forwarded before the answer is complete.
--- a/src/net/upstream/host_actor.rs
+++ b/src/net/upstream/host_actor.rs
@@ -10,7 +10,7 @@
 use super::idle::IdleConnections;
 use super::{Attempt, Command, HostAddress, UpstreamContext};
 use crate::interface::{HostId, HostState, Outcome, RequestId, TimeDelta};
-use crate::net::messages::{AttemptEnd, CoreEvent, HealthCheckResult};
+use crate::net::messages::{AttemptEnd, CoreEvent, HealthCheckResult, Transfer};
 use std::collections::{HashMap, VecDeque};
 use std::future::Future;
 use tokio::sync::{mpsc, watch};
@@ -76,6 +76,7 @@
                 position: None,
                 role: None,
                 value: None,
+                transfer: Transfer::default(),
             })),
             Self::HealthCheck { sent_at } => CoreEvent::HealthChecked(HealthCheckResult {
                 host,
