End a primary's role for fresh reads when it may have lost it

Callers saw: where ledger hosts do not check reads, reads that must be fresh were sent to a host that was the primary seconds ago, had taken no connection since and had returned as a replica.

Cause: `ObservedRole` had no end. A role once seen counted until another was told, whatever happened to the host, so that `eligibility` called it the primary and `forward` set no time by which the read had to be written.

A role is now evidence with an end: a connection that fails, silence of more than 1 s, a new start time, or a return to the list put it in doubt. Then the position alone counts, as for a replica, until an answer written since the doubt confirms the role; an attempt that is out renews the doubt, since its answer may be lost. Where nothing else tells, one read in 3 s may show it; where hosts can be asked, the doubted primary is. A read at the primary has a time to be written by: its bound, or 1 s. Writes and hosts that check reads are treated as before.

Changed check: a bounded read at the primary had to have no time to be written by; it has the bound now, asserted to the microsecond.

--- a/crates/decisions/src/routing/dispatch.rs
+++ b/crates/decisions/src/routing/dispatch.rs
@@ -82,21 +82,20 @@
         true
     }
 
-    /// Forwards a request to a host. A connection may take long to open, and meanwhile a replica need not
-    /// keep up: unless the host checks reads itself or is the primary, a bounded read must be written by
-    /// the time it may be too old.
+    /// Forwards a request to a host. A connection may take long to open: unless the host checks reads
+    /// itself, a read that must be fresh has to be written while its evidence holds.
     pub(super) fn forward(&mut self, id: RequestId, host_id: HostId, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(id) else { return };
         let requirement = freshness::requirement(self.context(), request);
         let Some(request) = self.requests.get_mut(id) else { return };
         let Some(host) = self.hosts.get_mut(host_id) else { return };
         let hosts_check_reads = self.settings.replica_lag_wait().is_some();
-        let is_checked = hosts_check_reads || host.is_primary();
-        let write_by = if is_checked { None } else { requirement.latest_write(host.applied_position) };
+        let write_by =
+            if hosts_check_reads { None } else { freshness::latest_write(host, requirement, self.now) };
         let number = request.attempts;
         request.attempts += 1;
         request.in_flight_attempts += 1;
-        host.in_flight += 1;
+        host.attempt_forwarded(self.now);
         host.circuit_breaker.probe_started(self.now, outlier::BASE_EJECTION);
         let (class, group) = (request.class, request.group);
         let is_write = self.settings.classes[class].freshness == Freshness::Write;
--- a/crates/decisions/src/routing/eligibility.rs
+++ b/crates/decisions/src/routing/eligibility.rs
@@ -2,7 +2,7 @@
 
 use super::context::Context;
 use super::freshness::{likely_position, required_position, NO_POSITION};
-use super::host::Host;
+use super::host::{Host, PRIMARY_EVIDENCE_MAX_AGE};
 use super::request::PendingRequest;
 use super::{retry, slow_start};
 use crate::interface::{Freshness, HostId, Idempotency, RequestClass, TimeDelta};
@@ -10,9 +10,6 @@
 #[cfg(test)]
 mod tests;
 
-/// A primary that responded longer ago than this may have failed over: it is checked before a write that
-/// must not be repeated.
-const PRIMARY_EVIDENCE_MAX_AGE: TimeDelta = TimeDelta::from_secs(1);
 /// A host that rejected a write gets none for this time: a handover takes longer than all attempts of a
 /// request.
 const WRITE_REJECTED_FOR: TimeDelta = TimeDelta::from_millis(120);
@@ -106,10 +103,13 @@
 ) -> Result<Eligibility, Ineligible> {
     let class = context.class(request);
     let is_primary = host.is_primary();
-    if is_primary && has_recent_evidence(context, host, class) {
+    let required = required_position(context, request);
+    let hosts_check_reads = context.settings.replica_lag_wait().is_some();
+    let is_proven =
+        hosts_check_reads || !host.is_role_doubted(context.now) || host.applied_position >= required;
+    if is_primary && is_proven && has_recent_evidence(context, host, class) {
         return Ok(Eligibility::Primary);
     }
-    let required = required_position(context, request);
     if class.freshness == Freshness::Any || required == NO_POSITION {
         return Ok(Eligibility::CaughtUp);
     }
--- a/crates/decisions/src/routing/endpoint_list.rs
+++ b/crates/decisions/src/routing/endpoint_list.rs
@@ -35,6 +35,10 @@
     let is_new = hosts.get(entry.host).is_none();
     let host = hosts.get_or_insert(entry.host, entry.group, update.initial_concurrency_limit);
     host.zone = entry.zone;
+    let returns = entry.state == HostState::Running && host.state != HostState::Running;
+    if returns && !is_new {
+        host.doubt_role(update.now);
+    }
     host.state = entry.state;
     host.was_draining = match entry.state {
         HostState::Draining => true,
@@ -48,6 +52,9 @@
     let started_at = if just_started { listed_start.or(Some(update.now)) } else { listed_start };
     if started_at != host.started_at {
         host.started_at = started_at;
+        if !is_new {
+            host.doubt_role(update.now);
+        }
         host.circuit_breaker = CircuitBreaker::default();
     }
     // The list is the weakest evidence of a role: a change only requests a health check.
--- a/crates/decisions/src/routing/freshness.rs
+++ b/crates/decisions/src/routing/freshness.rs
@@ -1,7 +1,7 @@
 //! Which log position a read needs, which one a host has applied, and how positions and roles are learnt.
 
 use super::context::Context;
-use super::host::{Host, HostTable, ObservedRole};
+use super::host::{Host, HostTable, ObservedRole, PRIMARY_EVIDENCE_MAX_AGE};
 use super::request::PendingRequest;
 use crate::interface::{
     Freshness, HostId, LoadReport, LogPosition, ReadRequirement, Request, Role, Settings, TimeDelta,
@@ -52,6 +52,21 @@
     LogPosition(host.applied_position.0.saturating_add((now - observed_at).0))
 }
 
+/// Returns until when a read may be written to a host that does not check it; `None` where no time limit
+/// follows. Meanwhile a replica need not keep up, and a primary may lose its role.
+pub(super) fn latest_write(host: &Host, requirement: ReadRequirement, now: Timestamp) -> Option<Timestamp> {
+    let by_position = requirement.latest_write(host.applied_position);
+    if !host.is_primary() || host.is_role_doubted(now) {
+        return by_position;
+    }
+    let by_role = match requirement {
+        ReadRequirement::Any => return None,
+        ReadRequirement::AtLeast(_) => now + PRIMARY_EVIDENCE_MAX_AGE,
+        ReadRequirement::MaxStaleness(bound) => now + bound,
+    };
+    by_position.max(Some(by_role))
+}
+
 /// Returns the latest time a position may show at `now`: hosts' clocks may be ahead by a little.
 pub(super) fn latest_plausible(now: Timestamp) -> Timestamp {
     now + MAX_POSITION_LEAD
@@ -64,6 +79,8 @@
     pub role: Option<Role>,
     /// When the role was true.
     pub observed_at: Timestamp,
+    /// A time before which the response was not written.
+    pub sent_at: Timestamp,
 }
 
 /// Takes an observation. The applied position only rises, and one ahead of the clock is ignored; of roles
@@ -81,6 +98,10 @@
         return;
     }
     host.role = Some(ObservedRole { role, observed_at });
+    // A response may be older than its receipt, but no older than its request or its position.
+    let position = observation.position.filter(plausible);
+    let written_after = position.map_or(observation.sent_at, |position| Timestamp(position.0));
+    host.confirm_role(written_after.max(observation.sent_at));
     if role == Role::Primary {
         let group = host.group;
         hosts.demote_other_primaries(group, id, observed_at);
@@ -91,7 +112,8 @@
 pub(super) fn observe_report(hosts: &mut HostTable, id: HostId, report: LoadReport, now: Timestamp) {
     let observed_at = Timestamp(report.position.map_or(i64::MIN, |position| position.0));
     if observed_at <= latest_plausible(now) {
-        let observation = Observation { position: report.position, role: report.role, observed_at };
+        let observation =
+            Observation { position: report.position, role: report.role, observed_at, sent_at: observed_at };
         observe(hosts, id, observation, now);
     }
 }
--- a/crates/decisions/src/routing/host.rs
+++ b/crates/decisions/src/routing/host.rs
@@ -1,9 +1,15 @@
 //! What a router knows of each host, and of which hosts a group consists.
 
-use crate::interface::{HostId, HostState, LogPosition, Role, Timestamp};
+use crate::interface::{HostId, HostState, LogPosition, Role, TimeDelta, Timestamp};
 use crate::load::{CircuitBreaker, DecayingAverage};
 use std::collections::BTreeMap;
 
+/// A primary that responded longer ago than this may have failed over.
+pub(super) const PRIMARY_EVIDENCE_MAX_AGE: TimeDelta = TimeDelta::from_secs(1);
+
+/// A read that must be fresh may show whether a host is still the primary once in this time.
+const ROLE_PROBE_INTERVAL: TimeDelta = TimeDelta::from_secs(3);
+
 /// A role that a host was seen in.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ObservedRole {
@@ -35,6 +41,8 @@
     pub position_observed_at: Option<Timestamp>,
     /// The latest role that it was seen in.
     pub role: Option<ObservedRole>,
+    /// Since when it may have lost its role without notice; none while its role is confirmed.
+    pub role_doubted_at: Option<Timestamp>,
     /// When it last responded. A load report may be old, and does not count.
     pub last_response_at: Option<Timestamp>,
     /// Attempts of this router in flight there.
@@ -70,6 +78,33 @@
         self.observed_role() == Some(Role::Primary)
     }
 
+    /// Records that the host may have lost its role by `now`: it failed, was silent, or was started again.
+    pub fn doubt_role(&mut self, now: Timestamp) {
+        self.role_doubted_at = Some(now);
+    }
+
+    /// Records that the host had its role at `at`, which ends an earlier doubt.
+    pub fn confirm_role(&mut self, at: Timestamp) {
+        if self.role_doubted_at.is_some_and(|doubted_at| doubted_at <= at) {
+            self.role_doubted_at = None;
+        }
+    }
+
+    /// Records that an attempt is forwarded to the host. While its role is in doubt only the answer can tell:
+    /// until then nothing else may rely on the role.
+    pub fn attempt_forwarded(&mut self, now: Timestamp) {
+        self.in_flight += 1;
+        self.role_doubted_at = self.role_doubted_at.map(|_| now);
+    }
+
+    /// Returns whether the host may have lost its role since it was last seen in it. A failover takes longer
+    /// than [`PRIMARY_EVIDENCE_MAX_AGE`]. Where nothing else tells, one read in [`ROLE_PROBE_INTERVAL`] does.
+    pub fn is_role_doubted(&self, now: Timestamp) -> bool {
+        let is_recent = |seen: ObservedRole| now - seen.observed_at <= PRIMARY_EVIDENCE_MAX_AGE;
+        let may_probe = |doubted_at: Timestamp| now - doubted_at >= ROLE_PROBE_INTERVAL;
+        self.role_doubted_at.is_some_and(|at| !may_probe(at)) && !self.role.is_some_and(is_recent)
+    }
+
     /// Returns the role that the host counts as; a replica before it was seen in any.
     pub fn role_or_replica(&self) -> Role {
         self.observed_role().unwrap_or(Role::Replica)
--- a/crates/decisions/src/routing/mod.rs
+++ b/crates/decisions/src/routing/mod.rs
@@ -248,7 +248,7 @@
 
     fn on_attempt_ended(&mut self, result: &AttemptResult, actions: &mut Vec<Action>) {
         let Some(attempt) = self.requests.remove_attempt(result.id, result.attempt) else { return };
-        self.observe_result(result);
+        self.observe_result(result, attempt.sent_at);
         if let Some(host) = self.hosts.get_mut(result.host) {
             let class = &self.settings.classes[attempt.class];
             let end = AttemptEnd { attempt: &attempt, result, class };
@@ -271,8 +271,9 @@
     }
 
     /// Takes what an attempt's result says about its host.
-    fn observe_result(&mut self, result: &AttemptResult) {
-        let observation = Observation { position: result.position, role: result.role, observed_at: self.now };
+    fn observe_result(&mut self, result: &AttemptResult, sent_at: Timestamp) {
+        let observation =
+            Observation { position: result.position, role: result.role, observed_at: self.now, sent_at };
         freshness::observe(&mut self.hosts, result.host, observation, self.now);
         if let Some(report) = result.report {
             freshness::observe_report(&mut self.hosts, result.host, report, self.now);
@@ -351,8 +352,7 @@
     fn eject_silent_hosts(&mut self) {
         for id in outlier::silent_hosts(self.context(), &self.requests) {
             if let Some(host) = self.hosts.get_mut(id) {
-                let (base, longest) = (outlier::BASE_EJECTION, outlier::MAX_EJECTION);
-                host.circuit_breaker.record_failure(self.now, base, longest);
+                outlier::record_silence(host, self.now);
             }
         }
     }
--- a/crates/decisions/src/routing/outlier.rs
+++ b/crates/decisions/src/routing/outlier.rs
@@ -2,7 +2,7 @@
 
 use super::concurrency_limit;
 use super::context::{serving_role, Context};
-use super::host::Host;
+use super::host::{Host, PRIMARY_EVIDENCE_MAX_AGE};
 use super::load_estimates::{LoadEstimates, LATENCY_RATIO_MIN_WEIGHT, SAMPLE_WEIGHT};
 use super::request::{Attempt, PendingRequests};
 use crate::interface::{
@@ -108,16 +108,29 @@
             host.last_response_at = Some(now);
         }
         Outcome::Overloaded | Outcome::Reset | Outcome::ConnectFailed => {
+            // A reset may be the fault of one connection: a host that has ended takes no further one.
+            if end.result.outcome == Outcome::ConnectFailed {
+                host.doubt_role(now);
+            }
             let ejection = first_ejection(host, mean_latency_us, now, end.result.outcome);
             host.circuit_breaker.record_failure(now, ejection, MAX_EJECTION);
         }
         Outcome::Timeout if end.latency_us() >= SLOW_LATENCY_MULTIPLE * mean_latency_us => {
-            host.circuit_breaker.record_failure(now, BASE_EJECTION, MAX_EJECTION);
+            record_silence(host, now);
         }
         Outcome::Timeout | Outcome::Cancelled | Outcome::NotSent => {}
     }
 }
 
+/// Records that the host does not respond.
+pub(super) fn record_silence(host: &mut Host, now: Timestamp) {
+    let last_sign = host.last_response_at.max(host.role.map(|role| role.observed_at));
+    if last_sign.is_none_or(|at| now - at > PRIMARY_EVIDENCE_MAX_AGE) {
+        host.doubt_role(now);
+    }
+    host.circuit_breaker.record_failure(now, BASE_EJECTION, MAX_EJECTION);
+}
+
 /// Returns the first ejection of a host that failed at once: short for one that is only full, since it can
 /// serve most.
 fn first_ejection(host: &Host, mean_latency_us: f64, now: Timestamp, outcome: Outcome) -> TimeDelta {
--- a/crates/decisions/src/routing/selection.rs
+++ b/crates/decisions/src/routing/selection.rs
@@ -174,7 +174,8 @@
 
     /// Returns the hosts of which a health check would help a request that no host is proven to suit. For a
     /// write the primary or, if that fails, all ineligible hosts. For a read, where hosts check reads, the
-    /// one checked longest ago.
+    /// one checked longest ago; elsewhere the primary whose role is in doubt or, if none is known, all
+    /// ineligible hosts.
     fn useful_health_checks(&self, mut ineligible: Vec<HostId>) -> Vec<HostId> {
         if self.is_write {
             let primary = self.context.primary(self.request.group);
@@ -184,7 +185,12 @@
             };
         }
         if self.context.settings.replica_lag_wait().is_none() {
-            return Vec::new();
+            let primary = self.context.primary(self.request.group);
+            return match primary {
+                Some((_, host)) if !host.is_role_doubted(self.context.now) => Vec::new(),
+                Some((id, _)) => vec![id],
+                None => ineligible,
+            };
         }
         ineligible.sort_by_key(|id| self.context.hosts.get(*id).and_then(|host| host.health_checked_at));
         ineligible.truncate(1);
--- a/crates/decisions/tests/routing/rules.rs
+++ b/crates/decisions/tests/routing/rules.rs
@@ -149,9 +149,9 @@
         (forwarded_to(&sent), write_deadlines(&sent)),
         (vec![1], vec![Some(Timestamp(world.now - 10 * MS + 800 * MS))])
     );
-    // The primary has all data, and a host that checks reads rejects what it may not serve.
+    // The primary may lose its role meanwhile. A host that checks reads rejects what it may not serve.
     let mut world = World::with_positions(settings(), 1);
-    assert_eq!(write_deadlines(&world.request(2, None).1), [None]);
+    assert_eq!(write_deadlines(&world.request(2, None).1), [Some(Timestamp(world.now + 800 * MS))]);
     let mut world = World::with_positions(Settings { lag_policy: LagPolicy::Reject, ..settings() }, 2);
     assert_eq!(write_deadlines(&world.request(2, None).1), [None]);
 }
--- a/tests/sockets/fresh.rs
+++ b/tests/sockets/fresh.rs
@@ -177,3 +177,34 @@
         c2 expect value two";
     play_in(&bounded(500, "pure"), 2, text);
 }
+
+/// The primary takes no connection, then one write whose answer is lost: guards against the bounded read that was sent to it
+/// as to the primary still (brink F 8101, fifth day).
+#[rstest]
+#[case::bounded("read")]
+#[case::session("own")]
+fn no_fresh_read_goes_to_a_primary_that_failed_and_has_not_answered_since(#[case] asks: &str) {
+    let text = format!(
+        "
+        c1-4 send startup
+        c1-4 expect ready
+        c1 send write q1 2900
+        h1 expect id=q1
+        h1 send value one primary
+        c1 expect value one
+        h1 close
+        h1 send hold
+        c2 send write q2 1900               # it waits for a connection, which does not come up
+        h1 expect knock
+        c2 expect error 53300
+        h1 send release
+        wait 300
+        c3 send write q3 1900               # out, and lost
+        h1 expect id=q3
+        c4 send {asks} q4 900
+        h1 expect silence 300
+        h1 close
+        c4 expect error 53300"
+    );
+    play_in(&bounded(500, "pure"), 1, &text);
+}
