Trust no position until a primary confirms the hosts' clock, nor one host to lower it

Callers saw, where ledger hosts do not check reads: after six answers of one host that called itself primary with positions 4.32 s old, an answer from 5 s ago was served where the bound is 2 s; and a process 5 s behind the hosts took a replica that lagged by 5 s for current.

Cause: the offset of the hosts' clock was presumed to be zero and used before any primary had answered, and it fell on the word of a single host: replicas that lag were no evidence, so that one host was the majority. `is_stale` also took a position ahead of the clock for fresh, and the answer to a repeated write, which tells the commit of its first run, bounded the clock. Evidence: the forced cases on sockets and of `HostClock`.

Positions prove nothing now before a primary's answer has confirmed the offset, and again 30 s after the last one; only a primary serves bounded and session reads until then, and that read confirms it. The offset falls only if a second host stands where the primary does, within 100 ms, and no host has shown a newer position in 10 s. A position ahead of the clock serves no read, and a write that may be a repeat bounds nothing from above. Where hosts check reads themselves nothing changes.

Known limit: a client's repeat that it does not mark, twice with the same delay within 250 ms, still bounds the clock.

--- a/crates/decisions/src/state/host_clock.rs
+++ b/crates/decisions/src/state/host_clock.rs
@@ -4,27 +4,36 @@
 //! else here is on this machine's. No decision may assume that the two agree: a machine's wall clock may be an hour off
 //! when its process starts.
 //!
-//! The offset is zero until answers contradict it. A primary's position is current, so its answer bounds the offset from
-//! above, by the time of the send; any position bounds it from below, by the time of the receipt. The offset changes only
-//! when more hosts contradict it than support it, each with several consistent answers and one of them a primary: a
-//! single host with wrong positions changes nothing.
+//! Any position bounds the offset from below, by the time of its receipt. A primary's position is current, so its answer
+//! bounds the offset from above too, by the time of the send. An offset that is too large makes positions look older than
+//! they are, and reads go to the primary; one that is too small makes replicas look fresher than they are. Hence:
 //!
-//! The offset is the largest that the bounds allow. One that is too large makes positions look older than they are, and
-//! reads go to the primary; one that is too small would make replicas look fresher than they are.
+//! - The offset is presumed to be zero, but until a primary's answer confirms the offset, and again once none has done so
+//!   for [`MAX_CONFIRMATION_AGE`], positions prove nothing.
+//! - It grows when more hosts contradict it than support it, one of them a primary.
+//! - It falls only on the word of two hosts: a primary and another host that stands where the primary does, while no
+//!   host has shown a newer position. One host with an old position, or that calls itself the primary and is not,
+//!   changes nothing.
 
 use crate::interface::{HostId, LogPosition, Role, TimeDelta, Timestamp};
 use std::collections::BTreeMap;
 
 /// How far a position may be ahead of the clock: rounding, and the clock's own steps.
 pub const MAX_POSITION_LEAD: TimeDelta = TimeDelta::from_millis(10);
+/// How long a primary's answer confirms the offset.
+pub const MAX_CONFIRMATION_AGE: TimeDelta = TimeDelta::from_secs(30);
+/// An answer that took longer says too little about the offset to confirm it.
+const MAX_CONFIRMING_LATENCY: TimeDelta = TimeDelta::from_millis(250);
 /// A primary whose position is older than its request by more than this contradicts the offset.
 const MAX_PRIMARY_LAG: TimeDelta = TimeDelta::from_millis(100);
-/// Samples of one host are consistent if their lower bounds differ by no more than this.
+/// Samples of one host are consistent if their bounds differ by no more than this.
 const MAX_SAMPLE_SPREAD: TimeDelta = TimeDelta::from_millis(250);
 /// Consistent samples in a row from which on a host contradicts the offset.
 const MIN_SAMPLES_PER_HOST: u32 = 2;
 /// Samples of all contradicting hosts together that a change of the offset takes.
 const MIN_SAMPLES: u32 = 3;
+/// Hosts that have to agree before the offset falls.
+const MIN_HOSTS_TO_LOWER: usize = 2;
 /// Age beyond which evidence is dropped.
 const MAX_EVIDENCE_AGE: TimeDelta = TimeDelta::from_secs(10);
 
@@ -35,7 +44,8 @@
     pub position: LogPosition,
     /// The host's role, if the answer carries it.
     pub role: Option<Role>,
-    /// When the last byte of the request was written; `None` for a load report, which may be older than its request.
+    /// When the last byte of the request was written; `None` if the position may be older: in a load report, or in the
+    /// answer to a repeated write, which tells the commit of the first run.
     pub sent: Option<Timestamp>,
     /// When the answer was received.
     pub received: Timestamp,
@@ -55,63 +65,81 @@
     }
 }
 
-/// How a sample relates to the current offset.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Verdict {
-    /// The offset is too small.
-    TooSmall,
-    /// The offset is too large.
-    TooLarge,
-    /// The offset is consistent with the sample.
-    Supports,
-    /// The position is old, which says nothing: its host may lag.
-    Inconclusive,
+/// The tightest of consistent bounds in a row, in microseconds.
+#[derive(Clone, Copy, Debug)]
+struct Bound {
+    value: i64,
+    samples: u32,
+    received: Timestamp,
+}
+
+impl Bound {
+    /// Takes a further bound, of which `tighter` returns the tighter one of two. One that is inconsistent replaces the
+    /// earlier ones.
+    fn merge(previous: Option<Self>, value: i64, received: Timestamp, tighter: fn(i64, i64) -> i64) -> Self {
+        let is_consistent = |previous: &Self| {
+            previous.value.abs_diff(value) <= MAX_SAMPLE_SPREAD.0.unsigned_abs()
+                && !previous.is_expired(received)
+        };
+        match previous.filter(is_consistent) {
+            Some(previous) => Self {
+                value: tighter(previous.value, value),
+                samples: previous.samples.saturating_add(1),
+                received,
+            },
+            None => Self { value, samples: 1, received },
+        }
+    }
+
+    fn is_expired(&self, now: Timestamp) -> bool {
+        now.0.saturating_sub(self.received.0) > MAX_EVIDENCE_AGE.0
+    }
 }
 
-/// The last consistent samples of one host.
+/// What the recent answers of one host say.
 #[derive(Clone, Copy, Debug)]
 struct Evidence {
-    received: Timestamp,
-    verdict: Verdict,
-    /// The highest of the samples' lower bounds, in microseconds.
-    lower_bound: i64,
-    /// The lowest of the samples' upper bounds, in microseconds.
-    upper_bound: Option<i64>,
-    samples: u32,
+    lower: Bound,
+    /// The highest lower bound: later answers may tell older positions, but what a host has shown was there.
+    highest: Bound,
+    /// From its answers as the primary.
+    upper: Option<Bound>,
 }
 
 impl Evidence {
-    fn new(sample: &Sample, verdict: Verdict) -> Self {
+    fn updated(previous: Option<Self>, sample: &Sample) -> Self {
+        let received = sample.received;
+        let lower = previous.map(|previous| previous.lower);
+        let upper = previous.and_then(|previous| previous.upper).filter(|upper| !upper.is_expired(received));
+        let latest = Bound { value: sample.lower_bound(), samples: 1, received };
+        let highest =
+            previous.map(|previous| previous.highest).filter(|highest| !highest.is_expired(received));
+        let merge_upper = |value| Bound::merge(upper, value, received, i64::min);
         Self {
-            received: sample.received,
-            verdict,
-            lower_bound: sample.lower_bound(),
-            upper_bound: sample.upper_bound(),
-            samples: 1,
+            lower: Bound::merge(lower, sample.lower_bound(), received, i64::max),
+            highest: highest.filter(|highest| highest.value > latest.value).unwrap_or(latest),
+            upper: sample.upper_bound().map(merge_upper).or(upper),
         }
     }
 
     fn is_expired(&self, now: Timestamp) -> bool {
-        now.0.saturating_sub(self.received.0) > MAX_EVIDENCE_AGE.0
+        self.lower.is_expired(now)
     }
 
-    fn is_consistent_with(&self, new: &Self) -> bool {
-        self.verdict == new.verdict
-            && (self.lower_bound - new.lower_bound).abs() <= MAX_SAMPLE_SPREAD.0
-            && !self.is_expired(new.received)
+    /// Returns whether the host's positions are ahead of what `offset` allows.
+    fn is_ahead_of(&self, offset: i64) -> bool {
+        self.lower.value > offset.saturating_add(MAX_POSITION_LEAD.0)
     }
 
-    fn merge(self, new: &Self) -> Self {
-        Self {
-            lower_bound: self.lower_bound.max(new.lower_bound),
-            upper_bound: self.upper_bound.into_iter().chain(new.upper_bound).min(),
-            samples: self.samples.saturating_add(1),
-            ..*new
-        }
+    /// Returns whether the host's latest positions are those of the present by `offset`.
+    fn supports(&self, offset: i64) -> bool {
+        !self.is_ahead_of(offset) && self.lower.value >= offset.saturating_sub(MAX_PRIMARY_LAG.0)
     }
 
-    fn contradicts(&self) -> bool {
-        matches!(self.verdict, Verdict::TooSmall | Verdict::TooLarge) && self.samples >= MIN_SAMPLES_PER_HOST
+    /// Returns the bound of a primary that has shown the offset to be lower than `offset`.
+    fn upper_below(&self, offset: i64) -> Option<Bound> {
+        let is_below = |upper: &Bound| upper.value < offset.saturating_sub(MAX_PRIMARY_LAG.0);
+        self.upper.filter(|upper| is_below(upper) && upper.samples >= MIN_SAMPLES_PER_HOST)
     }
 }
 
@@ -120,17 +148,29 @@
 pub struct HostClock {
     offset: TimeDelta,
     evidence: BTreeMap<HostId, Evidence>,
+    /// When a primary's answer last confirmed the offset.
+    confirmed_at: Option<Timestamp>,
 }
 
 impl HostClock {
-    /// Converts a point in time of the hosts' clock to this machine's.
+    /// Converts a point in time of the hosts' clock to this machine's, by the offset as it is presumed.
     pub fn to_local(&self, time: Timestamp) -> Timestamp {
         Timestamp(time.0.saturating_sub(self.offset.0))
     }
 
-    /// Converts a position to this machine's clock.
+    /// Converts a position to this machine's clock, for the question how old its data are: the oldest of all while
+    /// nothing confirms the offset.
     pub fn to_local_position(&self, position: LogPosition) -> LogPosition {
-        LogPosition(position.0.saturating_sub(self.offset.0))
+        if self.is_confirmed() {
+            LogPosition(position.0.saturating_sub(self.offset.0))
+        } else {
+            LogPosition::default()
+        }
+    }
+
+    /// Converts the position of a commit to this machine's clock, for comparison with other positions.
+    pub fn to_local_commit(&self, position: LogPosition) -> LogPosition {
+        LogPosition(self.to_local(Timestamp(position.0)).0)
     }
 
     /// Returns how far the hosts' clock is ahead of this machine's.
@@ -138,61 +178,113 @@
         self.offset
     }
 
+    /// Returns whether a primary's answer has confirmed the offset, not too long ago.
+    pub fn is_confirmed(&self) -> bool {
+        self.confirmed_at.is_some()
+    }
+
+    /// Forgets a confirmation that is too old at `now`.
+    pub fn expire_confirmation(&mut self, now: Timestamp) {
+        let is_recent = |at: &Timestamp| now.0.saturating_sub(at.0) <= MAX_CONFIRMATION_AGE.0;
+        self.confirmed_at = self.confirmed_at.filter(is_recent);
+    }
+
     /// Returns whether several samples of a host were ahead of the clock, so that its positions prove nothing for now.
     pub fn distrusts(&self, host: HostId) -> bool {
         let evidence = self.evidence.get(&host);
-        evidence.is_some_and(|evidence| evidence.verdict == Verdict::TooSmall && evidence.contradicts())
+        evidence.is_some_and(|evidence| {
+            evidence.is_ahead_of(self.offset.0) && evidence.lower.samples >= MIN_SAMPLES_PER_HOST
+        })
     }
 
     /// Records what an answer of a host says. Returns by how much the offset grew if that changed it.
     pub fn record(&mut self, host: HostId, sample: Sample) -> Option<TimeDelta> {
-        let verdict = self.verdict(&sample);
-        if verdict == Verdict::Inconclusive {
-            return None;
-        }
-        let new = Evidence::new(&sample, verdict);
-        let previous = self.evidence.get(&host).filter(|previous| previous.is_consistent_with(&new));
-        let evidence = previous.map_or(new, |previous| previous.merge(&new));
+        let now = sample.received;
+        self.expire_confirmation(now);
+        let previous = self.evidence.get(&host).filter(|previous| !previous.is_expired(now));
+        let evidence = Evidence::updated(previous.copied(), &sample);
         self.evidence.insert(host, evidence);
-        if verdict == Verdict::Supports {
-            return None;
+        if sample.lower_bound() > self.offset.0.saturating_add(MAX_POSITION_LEAD.0) {
+            self.drop_expired(now);
+            return self.raise(now);
         }
-        self.evidence.retain(|_, evidence| !evidence.is_expired(sample.received));
-        self.change_offset(verdict)
-    }
-
-    fn verdict(&self, sample: &Sample) -> Verdict {
-        let lowest = self.offset.0 - MAX_PRIMARY_LAG.0;
-        if sample.lower_bound() > self.offset.0 + MAX_POSITION_LEAD.0 {
-            Verdict::TooSmall
-        } else if sample.upper_bound().is_some_and(|bound| bound < lowest) {
-            Verdict::TooLarge
-        } else if sample.lower_bound() >= lowest {
-            Verdict::Supports
-        } else {
-            Verdict::Inconclusive
+        if self.confirms(&sample) {
+            self.confirmed_at = Some(now);
+        }
+        if self.evidence.values().any(|evidence| evidence.upper_below(self.offset.0).is_some()) {
+            self.drop_expired(now);
+            return self.lower(now);
         }
+        None
+    }
+
+    /// Returns whether the sample bounds the offset from both sides, close enough.
+    fn confirms(&self, sample: &Sample) -> bool {
+        let lowest = self.offset.0.saturating_sub(MAX_PRIMARY_LAG.0);
+        let highest = self.offset.0.saturating_add(MAX_CONFIRMING_LATENCY.0);
+        sample.upper_bound().is_some_and(|bound| (lowest..=highest).contains(&bound))
     }
 
-    /// Changes the offset to the median upper bound if the hosts with this verdict are the majority and agree on it.
-    fn change_offset(&mut self, verdict: Verdict) -> Option<TimeDelta> {
-        let of_verdict = self.evidence.values().filter(|evidence| evidence.verdict == verdict);
-        let contradicting: Vec<&Evidence> = of_verdict.filter(|evidence| evidence.contradicts()).collect();
-        let samples: u32 = contradicting.iter().map(|evidence| evidence.samples).sum();
-        let mut upper_bounds: Vec<i64> =
-            contradicting.iter().filter_map(|evidence| evidence.upper_bound).collect();
-        upper_bounds.sort_unstable();
-        let median = *upper_bounds.get(upper_bounds.len() / 2)?;
+    fn drop_expired(&mut self, now: Timestamp) {
+        self.evidence.retain(|_, evidence| !evidence.is_expired(now));
+    }
+
+    /// Raises the offset to the median upper bound of the hosts that are ahead of it, if they are the majority and agree.
+    fn raise(&mut self, now: Timestamp) -> Option<TimeDelta> {
+        let offset = self.offset.0;
+        let contradicts = |evidence: &&Evidence| {
+            evidence.is_ahead_of(offset) && evidence.lower.samples >= MIN_SAMPLES_PER_HOST
+        };
+        let contradicting: Vec<&Evidence> = self.evidence.values().filter(contradicts).collect();
+        let samples: u32 = contradicting.iter().map(|evidence| evidence.lower.samples).sum();
+        let upper_bounds =
+            contradicting.iter().filter_map(|evidence| evidence.upper).map(|upper| upper.value);
+        let median = median(upper_bounds.filter(|value| *value > offset).collect())?;
         // A host that is ahead even of the median is contradicted by the primaries.
-        let agrees = |evidence: &&&Evidence| evidence.lower_bound <= median + MAX_POSITION_LEAD.0;
-        let agreeing = contradicting.iter().filter(agrees).count();
-        let others = self.evidence.len() - agreeing;
-        if samples < MIN_SAMPLES || agreeing <= others {
-            return None;
-        }
-        let change = TimeDelta(median - self.offset.0);
-        self.offset = TimeDelta(median);
-        self.evidence.clear();
-        Some(change)
+        let agreeing = contradicting.iter().filter(|evidence| !evidence.is_ahead_of(median)).count();
+        let is_other = |evidence: &&Evidence| {
+            evidence.is_ahead_of(offset)
+                || evidence.supports(offset)
+                || evidence.upper_below(offset).is_some()
+        };
+        let others = self.evidence.values().filter(is_other).count() - agreeing;
+        (samples >= MIN_SAMPLES && agreeing > others).then(|| self.change_offset(median, now))
+    }
+
+    /// Lowers the offset to the median upper bound of the primaries that are behind it, if another host stands there
+    /// too and none has shown a newer position.
+    fn lower(&mut self, now: Timestamp) -> Option<TimeDelta> {
+        let offset = self.offset.0;
+        let primaries = || self.evidence.values().filter_map(|evidence| evidence.upper_below(offset));
+        let median = median(primaries().map(|upper| upper.value).collect())?;
+        let samples: u32 = primaries().map(|upper| upper.samples).sum();
+        let agrees = |evidence: &&Evidence| {
+            let lowest = median.saturating_sub(MAX_PRIMARY_LAG.0);
+            let is_primary =
+                evidence.upper_below(offset).is_some_and(|upper| (lowest..=median).contains(&upper.value));
+            is_primary || evidence.supports(median)
+        };
+        let agreeing = self.evidence.values().filter(agrees).count();
+        // A host that is ahead of the present offset too is wrong itself.
+        let refutes = |evidence: &Evidence| {
+            let allowed = |offset: i64| offset.saturating_add(MAX_POSITION_LEAD.0);
+            (allowed(median) + 1..=allowed(offset)).contains(&evidence.highest.value)
+        };
+        let is_refuted = self.evidence.values().any(refutes);
+        let is_agreed = samples >= MIN_SAMPLES && agreeing >= MIN_HOSTS_TO_LOWER && !is_refuted;
+        is_agreed.then(|| self.change_offset(median, now))
     }
+
+    fn change_offset(&mut self, offset: i64, now: Timestamp) -> TimeDelta {
+        let change = TimeDelta(offset.saturating_sub(self.offset.0));
+        self.offset = TimeDelta(offset);
+        self.confirmed_at = Some(now);
+        change
+    }
+}
+
+/// Returns the median, the higher one of two; none of no values.
+fn median(mut values: Vec<i64>) -> Option<i64> {
+    values.sort_unstable();
+    values.get(values.len() / 2).copied()
 }
--- a/src/net/core/attempts.rs
+++ b/src/net/core/attempts.rs
@@ -94,6 +94,7 @@
 
     /// Takes the end of an attempt: answers the request if it brought a value, and notifies the router.
     pub(super) async fn attempt_ended(&mut self, mut end: AttemptEnd) {
+        self.host_clock.expire_confirmation(self.clock.now());
         let outcome = if self.is_stale(&end) { Outcome::Stale } else { end.outcome };
         self.log_read(&end, outcome);
         let id = end.id;
--- a/src/net/core/positions.rs
+++ b/src/net/core/positions.rs
@@ -1,9 +1,9 @@
 //! Log positions and times that hosts report, in this machine's time.
 
 use super::Core;
-use crate::interface::{HostId, LoadReport, LogPosition, Outcome, Role, Timestamp};
+use crate::interface::{HostId, LoadReport, LogPosition, Outcome, Role};
 use crate::net::messages::AttemptEnd;
-use crate::state::host_clock::Sample;
+use crate::state::host_clock::{Sample, MAX_POSITION_LEAD};
 
 impl Core {
     /// Returns the position that an attempt's answer reported, in local time, after the hosts' clock has been checked
@@ -12,46 +12,58 @@
         let is_commit = outcome == Outcome::Ok && self.is_write(end);
         let position = end.position?.rounded(is_commit);
         let written_at = end.written_at.map(|at| self.clock.timestamp(at));
-        self.observe_host_clock(end.host, position, end.role, written_at);
-        Some(self.host_clock.to_local_position(position))
+        let sent = written_at.filter(|_| !is_commit || !self.may_be_repeated(end));
+        let sample = Sample { position, role: end.role, sent, received: self.clock.now() };
+        self.observe_host_clock(end.host, sample);
+        if is_commit {
+            Some(self.host_clock.to_local_commit(position))
+        } else {
+            self.applied_position(position)
+        }
+    }
+
+    /// Returns a host's applied position in local time; none where nothing proves how old its data are. Hosts that check
+    /// reads themselves reject what they may not serve, so that the offset need not be confirmed there.
+    fn applied_position(&self, position: LogPosition) -> Option<LogPosition> {
+        if !self.config.settings.responses_verified {
+            return Some(self.host_clock.to_local_commit(position));
+        }
+        let position = Some(position).filter(|_| self.host_clock.is_confirmed())?;
+        let local = self.host_clock.to_local_position(position);
+        let latest = self.clock.now() + MAX_POSITION_LEAD;
+        Some(local).filter(|local| local.0 <= latest.0)
     }
 
     /// Returns a load report in local time. Its position is left out while the host's positions contradict the clock; its
     /// role still counts.
     pub(super) fn report_in_local_time(&mut self, host: HostId, report: LoadReport) -> LoadReport {
         let Some(position) = report.position else { return report };
-        self.observe_host_clock(host, position, report.role, None);
-        let position = Some(self.host_clock.to_local_position(position));
-        LoadReport { position: position.filter(|_| !self.host_clock.distrusts(host)), ..report }
+        let sample = Sample { position, role: report.role, sent: None, received: self.clock.now() };
+        self.observe_host_clock(host, sample);
+        let position = self.applied_position(position).filter(|_| !self.host_clock.distrusts(host));
+        LoadReport { position, ..report }
     }
 
-    /// Checks the hosts' clock against a position, and moves all that is known in it if the clock has to be set anew.
-    fn observe_host_clock(
-        &mut self,
-        host: HostId,
-        position: LogPosition,
-        role: Option<Role>,
-        sent: Option<Timestamp>,
-    ) {
-        let received = self.clock.now();
-        let sample = Sample { position, role, sent, received };
+    /// Checks the hosts' clock against a sample, and moves all that is known in it if the clock has to be set anew.
+    fn observe_host_clock(&mut self, host: HostId, sample: Sample) {
         let Some(shift) = self.host_clock.record(host, sample) else { return };
         let offset_ms = self.host_clock.offset().0 / 1000;
         tracing::warn!(offset_ms, "offset of the hosts' clock changed");
         self.hosts.shift_start_times(shift.0);
-        self.router.shift_host_clock(received, shift.0);
+        self.router.shift_host_clock(self.clock.now(), shift.0);
     }
 
     /// Returns whether the data behind an answer are too old for its request, where the settings leave that check to the
     /// proxy. The bound counts from the query's last byte, which may have waited for its connection since the router's
-    /// decision. A primary is never stale.
+    /// decision. A primary is never stale. A position ahead of the clock, or one that an unconfirmed clock cannot date,
+    /// proves nothing.
     pub(super) fn is_stale(&self, end: &AttemptEnd) -> bool {
         if !self.config.settings.responses_verified || end.outcome != Outcome::Ok {
             return false;
         }
         let request = self.requests.get(end.id).filter(|request| !request.is_write);
         let Some((request, written_at)) = request.zip(end.written_at) else { return false };
-        let applied = end.position.map(|position| self.host_clock.to_local_position(position.rounded(false)));
+        let applied = end.position.and_then(|position| self.applied_position(position.rounded(false)));
         end.role != Some(Role::Primary)
             && !request.requirement.is_met_by(applied, self.clock.timestamp(written_at))
     }
@@ -84,6 +96,11 @@
         );
     }
 
+    /// Returns whether the host may have executed the request before, and answered with what it did then.
+    fn may_be_repeated(&self, end: &AttemptEnd) -> bool {
+        self.requests.get(end.id).is_none_or(|request| request.is_client_retry || end.attempt > 0)
+    }
+
     fn is_write(&self, end: &AttemptEnd) -> bool {
         self.requests.get(end.id).is_some_and(|request| request.is_write)
     }
--- a/src/net/core/request_table.rs
+++ b/src/net/core/request_table.rs
@@ -32,6 +32,8 @@
     pub requirement: ReadRequirement,
     /// How many attempts have not ended.
     pub in_flight_attempts: u32,
+    /// Whether its client marks it as a retry.
+    pub is_client_retry: bool,
     /// Whether its class writes.
     pub is_write: bool,
     /// Index of its class in the settings at its arrival.
--- a/src/net/core/requests.rs
+++ b/src/net/core/requests.rs
@@ -108,6 +108,7 @@
             attempt_hosts: Vec::new(),
             requirement: ReadRequirement::Any,
             in_flight_attempts: 0,
+            is_client_retry,
             is_write: self.config.settings.classes[class].freshness == Freshness::Write,
             class,
             _memory_reservation: memory_reservation,
--- a/tests/sockets/clock.rs
+++ b/tests/sockets/clock.rs
@@ -1,7 +1,7 @@
 //! The wall clock of this machine is not the hosts': it may be seconds or an hour off when the program starts, and step while
 //! it runs. Positions are the hosts' time; what the program serves does not depend on its own.
 
-use crate::scenario::{play_faulty, settings, settings_with};
+use crate::scenario::{play_faulty, play_in, settings, settings_with};
 use rstest::rstest;
 use serde_json::json;
 
@@ -104,3 +104,37 @@
         c1 expect value new";
     play_faulty(&format!("clock::step={step_ms}:1/1"), &unchecked(), 3, text);
 }
+
+/// The same where an answer that takes long brings no second attempt.
+fn unchecked_and_unhurried() -> String {
+    let mut all: serde_json::Value = serde_json::from_str(&unchecked()).unwrap();
+    all["grades"].as_array_mut().unwrap().iter_mut().for_each(|grade| grade["onTime"] = json!(2.9));
+    all.to_string()
+}
+
+/// Guards against one host that lowers the offset: it calls itself primary with positions 4.32 s old, and an answer from 5 s
+/// ago was served where the bound is 2 s.
+#[test]
+fn one_host_with_old_positions_makes_no_old_answer_pass() {
+    let write = |n: usize| {
+        format!(
+            "
+            c1 send write w{n} 2900
+            h1 expect id=w{n}
+            h1 send value v{n} primary -4320
+            c1 expect value v{n}
+            wait 50"
+        )
+    };
+    let writes: String = (0..6).map(write).collect();
+    let text = format!(
+        "
+        c1 send startup
+        c1 expect ready{writes}
+        c1 send read q1 2900
+        h1 expect id=q1
+        h1 send value old replica -5000
+        c1 expect error 53300"
+    );
+    play_in(&unchecked_and_unhurried(), 1, &text);
+}
