Take the role of a load report whose position is ahead of the clock

Callers saw: a fresh process whose clock was 20 ms behind the hosts' (also 1.5 s and 5 s behind, and 5 s ahead) rejected every bounded read with 53300 until a write had been answered, where ledger hosts do not check reads.

Cause: `observe_report` ignored a report as a whole if its position was ahead of the clock, the role in it too, so that no primary was known; and one host was asked for a read, whichever it was.

Only the position is ignored now. The age of a report without one is unknown: any answer goes before its role. A report without a position no longer has its role observed at the least time there is, from which the subtraction of times overflowed (with overflow checks: a panic).

Test first: the_first_bounded_read_is_served_whatever_the_clock_says.

--- a/crates/decisions/src/routing/freshness.rs
+++ b/crates/decisions/src/routing/freshness.rs
@@ -108,12 +108,12 @@
     }
 }
 
-/// Takes a load report, which is as old as the position in it. One from ahead of the clock is ignored.
+/// Takes a load report, which is as old as the position in it. A position from ahead of the clock is
+/// ignored; the age of a report without a position is unknown, so that any response goes before its role.
 pub(super) fn observe_report(hosts: &mut HostTable, id: HostId, report: LoadReport, now: Timestamp) {
-    let observed_at = Timestamp(report.position.map_or(i64::MIN, |position| position.0));
-    if observed_at <= latest_plausible(now) {
-        let observation =
-            Observation { position: report.position, role: report.role, observed_at, sent_at: observed_at };
-        observe(hosts, id, observation, now);
-    }
+    let latest = latest_plausible(now);
+    let position = report.position.filter(|position| position.0 <= latest.0);
+    let observed_at = position.map_or(Timestamp::default(), |position| Timestamp(position.0));
+    let observation = Observation { position, role: report.role, observed_at, sent_at: observed_at };
+    observe(hosts, id, observation, now);
 }
--- a/tests/sockets/clock.rs
+++ b/tests/sockets/clock.rs
@@ -112,6 +112,21 @@
     all.to_string()
 }
 
+/// Guards against a fresh program that serves no bounded read before a write has been answered: its clock was 20 ms behind.
+#[rstest]
+fn the_first_bounded_read_is_served_whatever_the_clock_says(
+    #[values(0, 20, -20, -1_500, -5_000, 5_000)] step_ms: i64,
+) {
+    let text = "
+        c1 send startup
+        c1 expect ready
+        c1 send read q1 2900
+        any expect id=q1
+        any send value one primary
+        c1 expect value one";
+    play_faulty(&format!("clock::step={step_ms}:1/1"), &unchecked_and_unhurried(), 3, text);
+}
+
 /// Guards against one host that lowers the offset: it calls itself primary with positions 4.32 s old, and an answer from 5 s
 /// ago was served where the bound is 2 s.
 #[test]
