Let the soak lose a group's primary and put clocks off by 20 ms to 5 s

The soak's clocks were 2 s or an hour off, which hid the 20 ms that kept a fresh process from every bounded read, and no run lost a primary for long while its replicas stood still, which is where fresh reads went to a former primary.

A planted fault of this kind has not been played.

--- a/crates/testbench/src/soak/plan.rs
+++ b/crates/testbench/src/soak/plan.rs
@@ -97,6 +97,11 @@
     "read:host:ETIMEDOUT:1/400;write:host:EPIPE:1/400",
 ];
 
+/// By how much a wall clock is off, or steps, in milliseconds: from what two machines differ by to an hour.
+const CLOCK_STEPS_MS: [i64; 9] = [-3_600_000, -5_000, -2_000, -1_500, -20, 20, 2_000, 5_000, 3_600_000];
+/// How many times more slowly replicas apply the log that are to stand still.
+const STANDSTILL: f64 = 1_000.0;
+
 impl Plan {
     /// The run of a seed. Only faults that are named come.
     pub fn draw(seed: u64, processes: Option<usize>, span: Duration, faults: &[Fault]) -> Self {
@@ -123,9 +128,9 @@
         rules.push(CALLS[random.random_range(0..CALLS.len())].to_owned());
     }
     if random.random_bool(0.4) && has(Fault::Clock) {
-        let step = [-3_600_000, -2_000, 2_000, 3_600_000][random.random_range(0..4)];
+        let step_ms = CLOCK_STEPS_MS[random.random_range(0..CLOCK_STEPS_MS.len())];
         let from = [0, 2_000][random.random_range(0..2)];
-        rules.push(format!("clock::step={step}@{from}:1/1"));
+        rules.push(format!("clock::step={step_ms}@{from}:1/1"));
     }
     if random.random_bool(0.4) && has(Fault::Pauses) {
         rules.push(
@@ -180,9 +185,25 @@
         };
         script = script.then(seconds, trouble);
     }
+    if random.random_bool(0.3) {
+        let group = random.random_range(0..spec.groups);
+        let begins = random.random_range(0.2..span.as_secs_f64() * 0.3);
+        let seconds = random.random_range(3.0..8.0);
+        script = lose_primary(script, spec, group, begins, seconds);
+    }
     script
 }
 
+/// A group loses its first primary, which returns as a replica, while its replicas stand still.
+fn lose_primary(mut script: Script, spec: &Spec, group: usize, begins: f64, seconds: f64) -> Script {
+    let length = (seconds * SECOND as f64) as i64;
+    let primary = group * spec.members;
+    for host in primary + 1..primary + spec.members {
+        script = script.then(begins, Trouble::Lag { host, times: STANDSTILL, span: length });
+    }
+    script.then(begins, Trouble::Death { host: primary, span: length })
+}
+
 impl fmt::Display for Plan {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let (crowd, span) = (self.clients.len() - 6 * self.processes, self.span.as_secs());
