Hand listeners over to the other process at an upgrade

Cause: the old process took connections up to its end. Each accept put the exit off until answers were due, and from stop_reading_after on the time for a startup was over at the accept; at the end, what the system had put into the queue between the last accept(2) and the close was reset.

Evidence: 805 lost of one upgrade are 805 closes with reason=startup timeout, open_ms=0, the first 3.251 s after SIGTERM, where stop_reading_after is 3.25 s. With the thread held for 300 ms before the close of the listener (a new fault, close_listener) 6 connections were reset.

Change: after SIGTERM new connections are directed to another process that was seen to accept one (SO_ATTACH_REUSEPORT_CBPF, by the crate nix); 0.4 s later the queue is emptied and the listener closed. First nothing new comes, then the queue is empty, then the close: no connection can be in it. A process alone at its address keeps its listeners, as before.

--- a/crates/faults/src/calls.rs
+++ b/crates/faults/src/calls.rs
@@ -231,6 +231,18 @@
     START.get_or_init(Instant::now).elapsed()
 }
 
+/// Whether a descriptor is a listening socket.
+fn is_listening(descriptor: c_int) -> bool {
+    let mut listens: c_int = 0;
+    let mut length = size_of::<c_int>() as socklen_t;
+    let value = (&raw mut listens).cast::<c_void>();
+    // SAFETY: the value and its length are this function's own.
+    let result = unsafe {
+        libc::getsockopt(descriptor, libc::SOL_SOCKET, libc::SO_ACCEPTCONN, value, &raw mut length)
+    };
+    result == 0 && listens != 0
+}
+
 /// Kinds are kept by number, and numbers are used again: a closed descriptor is of no kind.
 ///
 /// # Safety
@@ -239,5 +251,9 @@
 pub unsafe extern "C" fn close(descriptor: c_int) -> c_int {
     let real = real!("close" as unsafe extern "C" fn(c_int) -> c_int);
     descriptors::set(descriptor, None::<Kind>);
+    let plan = Plan::of_process();
+    if plan.closes_listeners_late() && is_listening(descriptor) {
+        hold(plan.effect(Call::CloseListener, None));
+    }
     unsafe { real(descriptor) }
 }
--- a/crates/faults/src/plan.rs
+++ b/crates/faults/src/plan.rs
@@ -13,10 +13,11 @@
 /// accept4:client:EMFILE:1/3      one call in three on such a descriptor fails with that error
 /// read:host:short:1/2            one in two takes a few bytes only (`write` likewise)
 /// write:client:hold=2:1/1        after each call the thread is held up for 2 ms
+/// close_listener::hold=300:1/1   the thread is held up for 300 ms before a listening socket is closed
 /// clock::step=3600000@2000:1/1   the wall clock is so many milliseconds ahead from 2000 ms after the start on
 /// ```
 ///
-/// Calls: `accept4`, `socket`, `connect`, `wait`, `read`, `write`, `clock`. Kinds: `client`, `console`, `host`,
+/// Calls: `accept4`, `socket`, `connect`, `wait`, `read`, `write`, `close_listener` (only held up), `clock`. Kinds: `client`, `console`, `host`,
 /// `discovery`, or nothing for any.
 pub const VARIABLE: &str = "WHEELPIER_FAULTS";
 /// The variables that tell where the process is asked by operators and where it asks for its list.
@@ -39,6 +40,8 @@
     Read,
     /// send(2), writev(2)
     Write,
+    /// close(2) of a listening socket
+    CloseListener,
     /// clock_gettime(2) of the wall clock
     Clock,
 }
@@ -50,7 +53,7 @@
     Error(i32),
     /// It transfers a few bytes only.
     Short,
-    /// The thread is held up behind it.
+    /// The thread is held up behind it; before it, if it closes a listening socket.
     Hold(Duration),
     /// The clock is so many milliseconds ahead, from a moment after the start on.
     Step { ms: i64, from: Duration },
@@ -117,6 +120,7 @@
             "wait" => Call::Wait,
             "read" => Call::Read,
             "write" => Call::Write,
+            "close_listener" => Call::CloseListener,
             "clock" => Call::Clock,
             _ => return None,
         };
@@ -187,7 +191,16 @@
 
     /// Whether the clock is read through this library at all.
     pub(crate) fn steps_clock(&self) -> bool {
-        self.rules.iter().any(|rule| rule.call == Call::Clock)
+        self.concerns(Call::Clock)
+    }
+
+    /// Whether the close of a listening socket may be held up.
+    pub(crate) fn closes_listeners_late(&self) -> bool {
+        self.concerns(Call::CloseListener)
+    }
+
+    fn concerns(&self, call: Call) -> bool {
+        self.rules.iter().any(|rule| rule.call == call)
     }
 
     /// So many bytes, 1 to 7, for a short transfer.
--- a/src/net/frontend/acceptor.rs
+++ b/src/net/frontend/acceptor.rs
@@ -1,5 +1,7 @@
 //! The accept loop: accepts connections, starts an actor for each, and ends after SIGTERM once all clients have left.
 
+mod handover;
+
 use super::admission::AdmissionControl;
 use super::client;
 use super::context::ClientContext;
@@ -18,6 +20,8 @@
 use tokio::task::{yield_now, JoinSet};
 use tokio::time::{sleep_until, Instant};
 
+pub(super) use handover::Directed;
+
 /// Pause in accepting after this machine has run out of descriptors or buffers.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(10);
 
@@ -42,6 +46,8 @@
     ClientEnded,
     /// SIGTERM came.
     ShutdownStarted,
+    /// The next step of the listeners' handover is due.
+    HandoverDue,
     /// The process may exit, and no client is connected.
     ExitDue,
 }
@@ -61,6 +67,8 @@
     backoff_until: Option<Instant>,
     /// The earliest exit, as a span from SIGTERM; `None` before.
     exit_after: Option<Duration>,
+    /// When the next step of the listeners' handover is due; `None` before SIGTERM, and once no listener is open.
+    handover_due: Option<Instant>,
     /// Whether the listeners were polled once more since the exit was due.
     has_polled_before_exit: bool,
 }
@@ -76,6 +84,7 @@
             draining: context.draining.clone(),
             backoff_until: None,
             exit_after: None,
+            handover_due: None,
             has_polled_before_exit: false,
             context,
         }
@@ -92,8 +101,16 @@
                 AcceptorEvent::ShutdownStarted => {
                     self.exit_after =
                         self.context.shutdown().map(|(_, schedule)| schedule.earliest_exit_after);
+                    self.handover_due = Some(Instant::now());
+                }
+                AcceptorEvent::HandoverDue => self.advance_handover().await,
+                AcceptorEvent::ExitDue if self.has_polled_before_exit => {
+                    self.advance_handover().await;
+                    // A connection that was accepted meanwhile has to be served.
+                    if self.has_polled_before_exit && self.handover_continues_at().is_none() {
+                        return;
+                    }
                 }
-                AcceptorEvent::ExitDue if self.has_polled_before_exit => return,
                 AcceptorEvent::ExitDue => {
                     // The runtime may not have polled the listeners since the timer fired: it does so now, and connections
                     // that wait there are accepted first.
@@ -107,9 +124,11 @@
     /// Waits for the next event. Connections are accepted before the process exits.
     async fn next_event(&mut self) -> AcceptorEvent {
         let exit_at = self.exit_at();
-        let Self { listeners, clients, draining, backoff_until, exit_after, .. } = self;
+        let Self { listeners, clients, draining, backoff_until, exit_after, handover_due, .. } = self;
         tokio::select! {
             biased;
+            // First: clients that keep coming must not delay it.
+            () = sleep_until_some(*handover_due) => AcceptorEvent::HandoverDue,
             accepted = listeners.accept(), if backoff_until.is_none() => AcceptorEvent::Accepted(accepted),
             () = sleep_until(backoff_until.unwrap_or_else(Instant::now)), if backoff_until.is_some() => {
                 AcceptorEvent::BackoffElapsed
@@ -120,11 +139,12 @@
         }
     }
 
-    /// Returns the earliest exit; `None` before SIGTERM.
+    /// Returns the earliest exit, after the handover of the listeners; `None` before SIGTERM.
     fn exit_at(&self) -> Option<Instant> {
         let exit_after = self.exit_after?;
         let (started_at, _) = self.context.shutdown()?;
-        Some(started_at + exit_after)
+        let exit_at = started_at + exit_after;
+        Some(self.handover_continues_at().map_or(exit_at, |continues_at| exit_at.max(continues_at)))
     }
 
     /// Starts the actor of a connection that was accepted, if it is admitted.
--- a/src/net/frontend/listeners.rs
+++ b/src/net/frontend/listeners.rs
@@ -1,7 +1,10 @@
 //! The listening sockets, each with its protocol.
 
+use super::acceptor::Directed;
+use super::port_group;
 use crate::net::local_faults;
 use crate::protocol::Protocol;
+use socket2::SockRef;
 use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
@@ -12,10 +15,43 @@
 /// Connections that the system holds for a listener before they are accepted.
 const BACKLOG: i32 = 1024;
 
+/// A listening socket.
+#[derive(Debug)]
+pub(super) struct Listener {
+    pub socket: TcpListener,
+    /// The protocol that is spoken there.
+    pub protocol: Protocol,
+    /// Where new connections go instead while the listener is handed over.
+    pub directed: Option<Directed>,
+}
+
+impl Listener {
+    /// Accepts the connections that wait, whether or not the runtime has heard of them, and adds them to `waiting`.
+    ///
+    /// # Errors
+    /// When this machine has run out of descriptors or buffers: further connections may wait.
+    pub fn accept_queue(&self, waiting: &mut Vec<TcpStream>) -> io::Result<()> {
+        let socket = SockRef::from(&self.socket);
+        loop {
+            match socket.accept() {
+                Ok((accepted, _)) => {
+                    accepted.set_nonblocking(true)?;
+                    waiting.push(TcpStream::from_std(accepted.into())?);
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if local_faults::is_exhausted(&error) => return Err(error),
+                // Of a connection that is gone: the next one may wait behind it (accept(2), "Error handling").
+                Err(_) => {}
+            }
+        }
+    }
+}
+
 /// The listening sockets, each with the protocol that is spoken there.
 #[derive(Debug)]
 pub(crate) struct Listeners {
-    all: Vec<(Protocol, TcpListener)>,
+    /// Those that are open.
+    pub(super) all: Vec<Listener>,
     /// The listener that is polled first. It advances with each call, so that no listener starves another.
     next: usize,
 }
@@ -32,7 +68,7 @@
             let bound = local_faults::retry_local_faults(until, || async { bind_shared(*address) }).await;
             let bound = bound.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()));
             let named = |error: io::Error| io::Error::new(error.kind(), format!("{address}: {error}"));
-            all.push((*protocol, bound.map_err(named)?));
+            all.push(Listener { socket: bound.map_err(named)?, protocol: *protocol, directed: None });
         }
         Ok(Self { all, next: 0 })
     }
@@ -42,21 +78,22 @@
     /// # Errors
     /// When the system does not say.
     pub fn addresses(&self) -> io::Result<Vec<(Protocol, SocketAddr)>> {
-        self.all.iter().map(|(protocol, listener)| Ok((*protocol, listener.local_addr()?))).collect()
+        self.all.iter().map(|listener| Ok((listener.protocol, listener.socket.local_addr()?))).collect()
     }
 
-    /// Accepts the next connection of any listener. Cancel safe: no accepted connection is lost.
+    /// Accepts the next connection of any listener; waits forever if none is open. Cancel safe: no accepted connection is
+    /// lost.
     ///
     /// # Errors
     /// Those of accept(2).
     pub(super) async fn accept(&mut self) -> io::Result<(Protocol, TcpStream)> {
-        self.next = (self.next + 1) % self.all.len();
+        self.next = self.next.wrapping_add(1);
         let Self { all, next } = self;
         poll_fn(|cx| {
             for offset in 0..all.len() {
-                let (protocol, listener) = &all[(*next + offset) % all.len()];
-                if let Poll::Ready(accepted) = listener.poll_accept(cx) {
-                    return Poll::Ready(accepted.map(|(stream, _)| (*protocol, stream)));
+                let listener = &all[next.wrapping_add(offset) % all.len()];
+                if let Poll::Ready(accepted) = listener.socket.poll_accept(cx) {
+                    return Poll::Ready(accepted.map(|(stream, _)| (listener.protocol, stream)));
                 }
             }
             Poll::Pending
@@ -77,7 +114,23 @@
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
-    TcpListener::from_std(socket.into())
+    let listener = TcpListener::from_std(socket.into())?;
+    distribute_if_shared(&listener);
+    Ok(listener)
+}
+
+/// Takes away what an earlier handover has left in force at an address that is shared. The listener works without that.
+fn distribute_if_shared(listener: &TcpListener) {
+    let distribute = || {
+        let is_shared = port_group::members(listener.local_addr()?)?.count() > 1;
+        if is_shared {
+            port_group::distribute(listener)?;
+        }
+        Ok::<(), io::Error>(())
+    };
+    if let Err(error) = distribute() {
+        tracing::debug!(error = %error, "connections to a shared address not distributed anew");
+    }
 }
 
 #[cfg(test)]
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -3,7 +3,9 @@
 //! | file | owns |
 //! | --- | --- |
 //! | `listeners.rs` | the listening sockets |
+//! | `port_group.rs` | the sockets of several processes that listen at one address |
 //! | `acceptor.rs` | the accept loop, and the end of the process after a drain |
+//! | `acceptor/handover.rs` | listeners that are handed over to another process |
 //! | `admission.rs` | client connection slots, eviction of idle clients, connection pressure |
 //! | `context.rs` | what all client actors share; the settings and drains as they see them |
 //! | `connection_registry.rs` | the open connections, for the log |
@@ -25,6 +27,7 @@
 mod drain_report;
 mod fault;
 mod listeners;
+mod port_group;
 mod postgres;
 mod request;
 mod tds;
--- /dev/null
+++ b/src/net/frontend/port_group.rs
@@ -0,0 +1,84 @@
+//! The sockets that listen at one address, those of other processes among them (SO_REUSEPORT, socket(7)).
+//!
+//! The system numbers the members of such a group in the order in which they began to listen; once a member is closed the
+//! last one takes its number. It distributes new connections over all members, unless a program that is attached to the
+//! group names the member that gets them. The program belongs to the group: it outlives the process that attached it.
+
+use nix::sys::socket::{setsockopt, sockopt::AttachReusePortCbpf};
+use std::fs::File;
+use std::io::{self, BufRead, BufReader};
+use std::net::{IpAddr, SocketAddr};
+use std::os::fd::AsFd;
+
+/// The state of a listening socket in the system's tables of sockets.
+const LISTENING: &str = "0A";
+/// A number that no member has: the system distributes connections as it does without a program.
+const NO_MEMBER: u32 = u32::MAX;
+
+/// The number of a member of a group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Member(pub u32);
+
+/// Returns the members of the group at this address, the last one first.
+///
+/// # Errors
+/// When the system does not show its sockets.
+pub(super) fn members(address: SocketAddr) -> io::Result<impl Iterator<Item = Member>> {
+    let table = if address.is_ipv4() { "/proc/net/tcp" } else { "/proc/net/tcp6" };
+    let count = count_listening(BufReader::new(File::open(table)?), &as_in_table(address))?;
+    Ok((0..count).rev().map(Member))
+}
+
+/// Directs all new connections of the group to one member. Without effect where no member has that number.
+///
+/// # Errors
+/// Those of setsockopt(2).
+pub(super) fn direct_to(listener: &impl AsFd, member: Member) -> io::Result<()> {
+    attach_program(listener, member.0)
+}
+
+/// Lets the system distribute new connections over all members.
+///
+/// # Errors
+/// Those of setsockopt(2).
+pub(super) fn distribute(listener: &impl AsFd) -> io::Result<()> {
+    attach_program(listener, NO_MEMBER)
+}
+
+/// Attaches a program to the group that returns this number for each new connection.
+fn attach_program(listener: &impl AsFd, number: u32) -> io::Result<()> {
+    let code = u16::try_from(libc::BPF_RET | libc::BPF_K).map_err(io::Error::other)?;
+    let mut instructions = [libc::sock_filter { code, jt: 0, jf: 0, k: number }];
+    let program = libc::sock_fprog { len: 1, filter: instructions.as_mut_ptr() };
+    setsockopt(listener, AttachReusePortCbpf, &program).map_err(io::Error::from)
+}
+
+/// Returns an address in the form of the system's tables: the words of the IP address in the machine's byte order, and the
+/// port.
+fn as_in_table(address: SocketAddr) -> String {
+    let octets = match address.ip() {
+        IpAddr::V4(ip) => ip.octets().to_vec(),
+        IpAddr::V6(ip) => ip.octets().to_vec(),
+    };
+    let (words, _) = octets.as_chunks::<4>();
+    let ip: String = words.iter().map(|word| format!("{:08X}", u32::from_ne_bytes(*word))).collect();
+    format!("{ip}:{:04X}", address.port())
+}
+
+/// Counts the sockets of a table that listen at this address. The table begins with a heading and the listening sockets.
+fn count_listening(table: impl BufRead, address: &str) -> io::Result<u32> {
+    let mut count = 0;
+    for line in table.lines().skip(1) {
+        let line = line?;
+        let mut columns = line.split_ascii_whitespace().skip(1);
+        let (local, _remote, state) = (columns.next(), columns.next(), columns.next());
+        if state != Some(LISTENING) {
+            break;
+        }
+        count += u32::from(local == Some(address));
+    }
+    Ok(count)
+}
+
+#[cfg(test)]
+mod tests;
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -21,4 +21,5 @@
 mod role;
 mod scenario;
 mod tds;
+mod upgrade;
 mod watching;
--- a/tests/sockets/scenario/mod.rs
+++ b/tests/sockets/scenario/mod.rs
@@ -25,7 +25,7 @@
 //! list expect open (a call was answered, and its watch is open);  list expect WORDS (a request holding them all) | within MS WORDS (no later than that)
 //! proxy send unread (nobody reads its log until `proxy send read`)
 //! proxy send TERM | HUP | STOP (it gets no turn until CONT: what comes meanwhile comes in one);  proxy expect exit CODE [by MS from SIGTERM on] | log WORDS | figures WORDS (among its counters, sooner or later)
-//! new send start (a second program beside the first: the same addresses, its own console) | TERM | HUP
+//! new send start (a second program beside the first: the same addresses, its own console) | TERM | HUP | STOP
 //! new expect exit CODE | log WORDS
 //! proxy expect descriptors N (it never held more, and never lacked one): where it was started with so many
 //! silent send N (so many connections to the console that say nothing)
@@ -531,7 +531,7 @@
     }
 
     /// Sends it a signal by name: `TERM`, `HUP`.
-    fn signal(&self, name: &str) {
+    pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         let first_term = name == "TERM" && self.told.get().is_none();
         if first_term {
