Send signals from the socket tests by the system call itself

Cause: a scenario's `by MS` counts from before a child process was started that ran kill(1).

Change: kill(2) by the crate nix, in the test's own process. The bounds are as they were, and the moment from which they count is now that of the signal.

--- a/tests/sockets/scenario/mod.rs
+++ b/tests/sockets/scenario/mod.rs
@@ -43,6 +43,8 @@
 mod run_queue;
 mod tds;
 
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
 use run_queue::{Delays, Start};
 pub use run_queue::{ProcessorTime, TimerLateness};
 use serde_json::Value;
@@ -52,6 +54,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::str::FromStr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, AtomicUsize, Ordering::Relaxed};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
 use std::sync::{Arc, Condvar, Mutex};
@@ -406,8 +409,8 @@
     unread: Arc<AtomicBool>,
     /// When it was last sent SIGTERM.
     told: Cell<Option<Instant>>,
-    /// The same moment for the record of where the time went, and how long it took to send the signal.
-    term: Cell<Option<(Start, Duration)>>,
+    /// The same moment for the record of where the time went.
+    term: Cell<Option<Start>>,
     /// How late this test's looks at its end were.
     timers: TimerLateness,
     /// When it was found ended, and where the time went from SIGTERM on.
@@ -530,21 +533,15 @@
         }
     }
 
-    /// Sends it a signal by name: `TERM`, `HUP`.
+    /// Sends it a signal by name: `TERM`, `HUP`. By the system call itself: a program that sends it would take its time
+    /// beside other work.
     pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        let first_term = name == "TERM" && self.told.get().is_none();
-        if first_term {
+        if name == "TERM" && self.told.get().is_none() {
+            self.term.set(Some(self.begin()));
             self.told.set(Some(Instant::now()));
-            self.term.set(Some((self.begin(), Duration::ZERO)));
-        }
-        let alone = starts();
-        let mut kill = Command::new("kill").args([&format!("-{name}"), &pid]).spawn().unwrap();
-        drop(alone);
-        assert!(kill.wait().unwrap().success());
-        if let Some(((start, _), told)) = self.term.get().zip(self.told.get()).filter(|_| first_term) {
-            self.term.set(Some((start, told.elapsed())));
         }
+        let signal = Signal::from_str(&format!("SIG{name}")).unwrap();
+        kill(Pid::from_raw(self.child.id().try_into().unwrap()), signal).unwrap();
     }
 
     /// The start of what is judged of this program from now on.
@@ -554,8 +551,7 @@
 
     /// Where the time went from SIGTERM to the last look.
     fn evidence(&self, delays: Option<Delays>) -> String {
-        let Some(((_, signal_took), delays)) = self.term.get().zip(delays) else { return String::new() };
-        format!("; sending the signal took {} ms; {delays}", signal_took.as_millis())
+        delays.map_or_else(String::new, |delays| format!("; {delays}"))
     }
 
     /// `exit CODE` or `log WORDS`, as a scenario words it.
@@ -601,7 +597,7 @@
     fn exit_with_delays(&mut self) -> (i32, Option<Delays>) {
         let until = Instant::now() + PATIENCE;
         while Instant::now() < until {
-            let delays = self.term.get().map(|(start, _)| start.delays(&self.timers));
+            let delays = self.term.get().map(|start| start.delays(&self.timers));
             if let Some(status) = self.child.try_wait().unwrap() {
                 self.ended = Some((Instant::now(), delays));
                 return (status.code().expect("ended by itself"), delays);
