--- a/tests/sockets/clock.rs
+++ b/tests/sockets/clock.rs
@@ -28,28 +28,14 @@
     #[values(-3_600_000, -2_000, 2_000, 3_600_000)] step_ms: i64,
 ) {
     let text = "
-        c1 send startup
-        c1 expect ready
-        c1 send write q1 2900
-        h1 expect id=q1
-        h1 send value one primary
-        c1 expect value one
-        c1 send write q2 2900
-        h1 expect id=q2
-        h1 send value two primary
-        c1 expect value two
-        c1 send write q3 2900
-        h1 expect id=q3
-        h1 send value three primary
-        c1 expect value three
+        c1 start
+        h1 serve c1 write q1 2900 = one primary
+        h1 serve c1 write q2 2900 = two primary
+        h1 serve c1 write q3 2900 = three primary
         wait 200
-        c1 send own q4 2900
-        any expect id=q4
-        any send value four replica
-        c1 expect value four
+        any serve c1 own q4 2900 = four replica
         wait 200
-        c1 send own q5 2900
-        h2 expect id=q5
+        h2 take c1 own q5 2900
         h2 send value five replica
         c1 expect value five";
     play_faulty(&format!("clock::step={step_ms}:1/1"), &settings(), 2, text);
@@ -59,19 +45,14 @@
 #[rstest]
 fn a_step_while_it_runs_changes_nothing(#[values(-3_600_000, 3_600_000)] step_ms: i64) {
     let text = "
-        c1-2 send startup
-        c1-2 expect ready
-        c1 send read q1 2900
-        h1 expect id=q1
+        c1-2 start
+        h1 take c1 read q1 2900
         wait 600                            # the clock steps 500 ms after the first look at it
-        h1 send value one primary
-        c1 expect value one
-        c2 send read q2 2900
-        h1 expect id=q2
+        h1 answer c1 one primary
+        h1 take c2 read q2 2900
         proxy send TERM
         wait 100
-        h1 send value two primary
-        c2 expect value two
+        h1 answer c2 two primary
         c1-2 expect closed
         proxy expect exit 0 by 3700";
     play_faulty(&format!("clock::step={step_ms}@500:1/1"), &unhurried(), 1, text);
@@ -82,22 +63,11 @@
 #[rstest]
 fn the_age_of_data_is_told_in_the_hosts_time(#[values(-3_600_000, 3_600_000)] step_ms: i64) {
     let text = "
-        c1 send startup
-        c1 expect ready
-        c1 send write q1 2900
-        h1 expect id=q1
-        h1 send value one primary
-        c1 expect value one
-        c1 send write q2 2900
-        h1 expect id=q2
-        h1 send value two primary
-        c1 expect value two
-        c1 send write q3 2900
-        h1 expect id=q3
-        h1 send value three primary
-        c1 expect value three
-        c1 send read q4 2900
-        any expect id=q4
+        c1 start
+        h1 serve c1 write q1 2900 = one primary
+        h1 serve c1 write q2 2900 = two primary
+        h1 serve c1 write q3 2900 = three primary
+        any take c1 read q4 2900
         any send value old replica -5000    # whoever took it turns out to be a replica far behind
         any expect id=q4
         any send value new replica -100
@@ -118,10 +88,8 @@
     #[values(0, 20, -20, -1_500, -5_000, 5_000)] step_ms: i64,
 ) {
     let text = "
-        c1 send startup
-        c1 expect ready
-        c1 send read q1 2900
-        any expect id=q1
+        c1 start
+        any take c1 read q1 2900
         any send value one primary
         c1 expect value one";
     play_faulty(&format!("clock::step={step_ms}:1/1"), &unchecked_and_unhurried(), 3, text);
@@ -134,10 +102,7 @@
     let write = |n: usize| {
         format!(
             "
-            c1 send write w{n} 2900
-            h1 expect id=w{n}
-            h1 send value v{n} primary -4320
-            c1 expect value v{n}
+            h1 serve c1 write w{n} 2900 = v{n} primary -4320
             wait 50"
         )
     };
@@ -146,8 +111,7 @@
         "
         c1 send startup
         c1 expect ready{writes}
-        c1 send read q1 2900
-        h1 expect id=q1
+        h1 take c1 read q1 2900
         h1 send value old replica -5000
         c1 expect error 53300"
     );
--- a/tests/sockets/crossing.rs
+++ b/tests/sockets/crossing.rs
@@ -20,16 +20,14 @@
 #[test]
 fn a_request_beside_the_eviction_of_a_newcomer() {
     let text = "
-        c1-22 send startup
-        c1-22 expect ready
+        c1-22 start
         wait 250                            # who means to ask has said so after 200 ms
         proxy send STOP
         c1 send read q1 2900
         c23 send startup
         proxy send CONT
         h1 expect id=q1
-        h1 send value one primary
-        c1 expect value one
+        h1 answer c1 one primary
         c2 expect error 53300               # the next who has asked for nothing, once one more comes
         c2 expect closed";
     let (before, after) = text.split_once("c2 expect error").unwrap();
@@ -49,8 +47,7 @@
         proxy send CONT
         c1 expect ready
         h1 expect id=q1
-        h1 send value one primary
-        c1 expect value one
+        h1 answer c1 one primary
         c13 send raw
         c2 expect closed";
     play(1, text);
@@ -60,8 +57,7 @@
 #[test]
 fn a_request_beside_the_call_to_make_room() {
     let text = "
-        c1-16 send startup
-        c1-16 expect ready
+        c1-16 start
         c1-16 send text
         c1-16 expect empty
         wait 2050
@@ -70,8 +66,7 @@
         c17-18 send startup
         proxy send CONT
         h1 expect id=q1
-        h1 send value one primary
-        c1 expect value one
+        h1 answer c1 one primary
         c2 expect closed";
     play(1, text);
 }
@@ -80,8 +75,7 @@
 #[test]
 fn a_request_beside_the_close_of_its_idle_connection() {
     let text = "
-        c1-2 send startup
-        c1-2 expect ready
+        c1-2 start
         c1-2 send text
         c1-2 expect empty
         proxy send TERM
@@ -91,8 +85,7 @@
         wait 300
         proxy send CONT
         h1 expect id=q1
-        h1 send value one primary
-        c1 expect value one
+        h1 answer c1 one primary
         c1-2 expect closed
         proxy expect exit 0 by 1300
         proxy expect log counters totals= taken=1 served=1";
@@ -110,8 +103,7 @@
 fn a_client_in_the_listen_queue_as_the_program_would_end(#[case] before: &str, #[case] after: &str) {
     let text = format!(
         "
-        c1 send startup
-        c1 expect ready
+        c1 start
         c1 send text
         c1 expect empty
         c1 close
@@ -124,8 +116,7 @@
         {after}
         c2 expect ready
         h1 expect id=q2
-        h1 send value two primary
-        c2 expect value two
+        h1 answer c2 two primary
         c2 expect closed
         proxy expect exit 0 by 3700
         proxy expect log counters totals= taken=1 served=1"
@@ -140,19 +131,14 @@
 fn an_answer_beside_the_time_out(#[case] answer: &str) {
     let text = format!(
         "
-        c1 send startup
-        c1 expect ready
-        c1 send read q1 300
-        h1 expect id=q1
+        c1 start
+        h1 take c1 read q1 300
         proxy send STOP
         h1 send {answer}
         wait 400
         proxy send CONT
         c1 expect answer
-        c1 send read q2 2900
-        h1 expect id=q2
-        h1 send value two primary
-        c1 expect value two
+        h1 serve c1 read q2 2900 = two primary
         operator send stats
         operator expect gw.outstanding=0"
     );
@@ -164,20 +150,16 @@
 fn an_answer_beside_the_leaving(#[values("close", "close half", "close reset")] leaves: &str) {
     let text = format!(
         "
-        c1 send startup
-        c1 expect ready
-        c1 send read q1 2900
-        h1 expect id=q1
+        c1 start
+        h1 take c1 read q1 2900
         proxy send STOP
         h1 send value late primary
         c1 {leaves}
         proxy send CONT
-        c2 send startup
-        c2 expect ready
+        c2 start
         c2 send read q1 2900                # the same name: the one before is over
         h1 expect id=q1
-        h1 send value two primary
-        c2 expect value two
+        h1 answer c2 two primary
         operator send stats
         operator expect gw.outstanding=0"
     );
@@ -188,20 +170,15 @@
 #[test]
 fn a_request_beside_the_end_of_an_idle_connection() {
     let text = "
-        c1 send startup
-        c1 expect ready
-        c1 send read q1 2900
-        h1 expect id=q1
-        h1 send value one primary
-        c1 expect value one
+        c1 start
+        h1 serve c1 read q1 2900 = one primary
         wait 20
         proxy send STOP
         h1 close
         c1 send read q2 2900
         proxy send CONT
         h1 expect id=q2
-        h1 send value two primary
-        c1 expect value two
+        h1 answer c1 two primary
         proxy expect figures sent=2 ok=2 reset=0";
     play(1, text);
 }
@@ -211,8 +188,7 @@
 fn a_request_beside_a_drain() {
     let text = "
         list expect follow
-        c1 send startup
-        c1 expect ready
+        c1 start
         proxy send STOP
         list send h1 draining
         wait 20
@@ -220,10 +196,8 @@
         proxy send CONT
         proxy expect figures lists=2
         any expect id=q1
-        any send value one replica
-        c1 expect value one
-        c1 send read q2 2900
-        h2 expect id=q2
+        any answer c1 one replica
+        h2 take c1 read q2 2900
         h1 expect silence 50";
     play(2, text);
 }
--- a/tests/sockets/deployments.rs
+++ b/tests/sockets/deployments.rs
@@ -77,18 +77,15 @@
     let write = "INSERT INTO kv (name, content) VALUES ('k1', '\\x00') RETURNING content";
     let text = format!(
         "
-        c1 send startup
-        c1 expect ready
+        c1 start
         c1 send text
         c1 expect empty
         c1 send text {read} /* id=q1,c=any,{tenant}d=2900,cluster=0 */
         h1 expect id=q1
-        h1 send value one primary
-        c1 expect value one
+        h1 answer c1 one primary
         c1 send text {write} /* id=q2,c=write,{tenant}d=2900,k=7,cluster=0 */
         h1 expect id=q2
-        h1 send value two primary
-        c1 expect value two
+        h1 answer c1 two primary
         c1 send text {read} /* id=q3,c=own,{tenant}d=2900,cluster=0 */
         h1 expect id=q3
         h1 send value three primary
@@ -158,8 +155,7 @@
         &settings(),
         1,
         "
-        c1 send startup
-        c1 expect ready
+        c1 start
         c1 send text SELECT content FROM kv WHERE name = 'k1' /* id=q1,c=any,d=900,cluster=0 */
         c1 expect error 42601
         proxy expect log request or connection rejected reason=lacks cause=the comment lacks `t`
--- a/tests/sockets/ending.rs
+++ b/tests/sockets/ending.rs
@@ -22,16 +22,13 @@
     let killed = longest.min(3_000) + 700;
     let text = format!(
         "
-        c1-6 send startup
-        c1-6 expect ready
+        c1-6 start
         c1-2 send text
         c1-2 expect empty
-        c3 send read q3 60000
-        h1 expect id=q3
+        h1 take c3 read q3 60000
         c6 send part 40
         proxy send TERM
-        c4 send read q4 60000
-        h1 expect id=q4
+        h1 take c4 read q4 60000
         wait 300
         c7 send startup
         c7 send read q7 60000
@@ -55,8 +52,7 @@
 fn a_late_request_has_its_whole_time(#[values(150, 300, 600)] longest: u64) {
     let text = format!(
         "
-        c1 send startup
-        c1 expect ready
+        c1 start
         c1 send text
         c1 expect empty
         proxy send TERM
@@ -79,8 +75,7 @@
 #[test]
 fn the_rest_of_a_query_is_waited_for() {
     let text = "
-        c1 send startup
-        c1 expect ready
+        c1 start
         proxy send TERM
         wait 420
         c1 send raw 510000000a5345          # the first bytes of `SET a`,
@@ -101,13 +96,10 @@
 fn sigterm_ends_it(#[case] told: &str) {
     let text = format!(
         "
-        c1 send startup
-        c1 expect ready
-        c1 send read q1 900
-        h1 expect id=q1
+        c1 start
+        h1 take c1 read q1 900
         {told}
-        h1 send value one primary
-        c1 expect value one
+        h1 answer c1 one primary
         c1 expect closed
         proxy expect exit 0 by 3700
         proxy expect log counters totals= taken=1 served=1"
@@ -124,13 +116,11 @@
     let killed = after + 700;
     let text = format!(
         "
-        c1 send startup
-        c1 expect ready
+        c1 start
         file send text {file}
         proxy send HUP
         proxy expect log configuration reloaded
-        c1 send read q1 60000
-        h1 expect id=q1
+        h1 take c1 read q1 60000
         proxy send TERM
         c1 expect error
         c1 expect closed
--- a/tests/sockets/faults.rs
+++ b/tests/sockets/faults.rs
@@ -18,8 +18,7 @@
         format!(
             "c1 send write q{n} 2900
             h1 expect id=q{n}
-            h1 send value v{n} primary
-            c1 expect value v{n}
+            h1 answer c1 v{n} primary
             wait 20
             h1 close\n"
         )
@@ -48,8 +47,7 @@
 #[test]
 fn without_ports_for_good_requests_are_refused_in_time() {
     let text = "
-        c1 send startup
-        c1 expect ready
+        c1 start
         c1 send read q1 900
         c1 expect within 900 error 53300
         c1 send write q2 900
@@ -64,10 +62,8 @@
     #[values("ENETUNREACH", "EHOSTUNREACH", "ETIMEDOUT", "ECONNREFUSED")] error: &str,
 ) {
     let text = "
-        c1 send startup
-        c1 expect ready
-        c1 send read q1 2900
-        any expect id=q1
+        c1 start
+        any take c1 read q1 2900
         any send value one replica
         c1 expect value one";
     play_faulty(&format!("seed=5;connect:host:{error}:1/2"), &settings(), 3, text);
@@ -77,16 +73,13 @@
 #[rstest]
 fn an_aborted_connection_evicts_nobody(#[values("ECONNABORTED", "EPROTO", "EINTR", "ENETDOWN")] error: &str) {
     let text = "
-        c1 send startup
-        c1 expect ready
+        c1 start
         c1 send text
         c1 expect empty
         wait 2100
-        c2-9 send startup
-        c2-9 expect ready
+        c2-9 start
         c1 expect silence 100
-        c1 send read q1 2900
-        h1 expect id=q1
+        h1 take c1 read q1 2900
         h1 send value one primary
         c1 expect value one";
     play_faulty(&format!("seed=4;accept4:client:{error}:1/2"), &settings(), 1, text);
@@ -115,8 +108,7 @@
         operator expect 200
         list expect open
         list send h1 up
-        c1 send startup
-        c1 expect ready
+        c1 start
         {}
         c1 send read p1 2900
         c1 send read p2 2900 k2
@@ -124,8 +116,7 @@
         h1 expect id=p2
         h1 send value two primary
         h1 expect again id=p1
-        h1 send value one primary
-        c1 expect value one
+        h1 answer c1 one primary
         c1 expect value two
         operator send stats
         operator expect gw.results.write.succeeded=4
@@ -141,17 +132,13 @@
 #[test]
 fn interrupted_waits_change_nothing() {
     let text = "
-        c1 send startup
-        c1 expect ready
-        c1 send read q1 400
-        h1 expect id=q1
+        c1 start
+        h1 take c1 read q1 400
         c1 expect within 420 error
-        c1 send read q2 2900
-        h1 expect id=q2
+        h1 take c1 read q2 2900
         proxy send TERM
         wait 500
-        h1 send value two primary
-        c1 expect value two
+        h1 answer c1 two primary
         c1 expect closed
         proxy expect exit 0 by 3700";
     play_faulty("seed=9;wait::EINTR:1/2", &unhurried(), 1, text);
@@ -194,8 +181,7 @@
     #[values("read:host", "write:host")] call: &str,
 ) {
     let text = "
-        c1 send startup
-        c1 expect ready
+        c1 start
         c1 send read q1 900
         operator send health
         operator expect 200
--- a/tests/sockets/fresh.rs
+++ b/tests/sockets/fresh.rs
@@ -25,24 +25,16 @@
 /// A replica has told where it stands, after a primary's answer has shown what the hosts' clock is; a read that may go there
 /// waits for a connection that comes up late.
 const LATE: &str = "
-    c8-9 send startup
-    c8-9 expect ready
-    c9 send own q7 2900
-    h1 expect id=q7
-    h1 send value seven primary
-    c9 expect value seven
+    c8-9 start
+    h1 serve c9 own q7 2900 = seven primary
     wait 20                             # a connection rests for 3 ms after its answer
-    c9 send own q9 2900
-    h1 expect id=q9
-    h1 send value nine replica
-    c9 expect value nine
+    h1 serve c9 own q9 2900 = nine replica
     h1 expect knock
     wait 20
     c8 send own q8 2900                 # holds the one connection there is
     h1 expect id=q8
     h1 send hold
-    c1 send startup
-    c1 expect ready
+    c1 start
     c1 send read q1 2900
     h1 expect knock
     proxy expect figures sent=4
@@ -59,8 +51,7 @@
         h1 send value eight replica         # told anew: the same connection, no further one
         c8 expect value eight
         h1 expect id=q1
-        h1 send value one replica
-        c1 expect value one
+        h1 answer c1 one replica
         proxy expect figures connects=2"
     );
     play_in(&bounded(600, "pure"), 1, &text);
@@ -86,41 +77,24 @@
     list expect follow
     list send h1 draining
     proxy expect figures lists=2
-    c20 send startup
-    c20 expect ready
-    c20 send write p1 2900 kp
-    h2 expect id=p1
-    h2 send value p1 primary
-    c20 expect value p1
+    c20 start
+    h2 serve c20 write p1 2900 kp = p1 primary
     wait 20                             # a connection rests for 3 ms after its answer
-    c20 send write p2 2900 kp
-    h2 expect id=p2
-    h2 send value p2 primary
-    c20 expect value p2
+    h2 serve c20 write p2 2900 kp = p2 primary
     list send h1 up
     proxy expect figures lists=3
     list send h2 draining
     proxy expect figures lists=4
-    c20 send write p3 2900 kp
-    h1 expect id=p3
-    h1 send value p3 primary
-    c20 expect value p3
+    h1 serve c20 write p3 2900 kp = p3 primary
     wait 20
-    c20 send write p4 2900 kp
-    h1 expect id=p4
-    h1 send value p4 primary
-    c20 expect value p4
+    h1 serve c20 write p4 2900 kp = p4 primary
     wait 20
 ";
 
 /// The host was the primary when it was asked, and answers as a replica.
 const DEPOSED: &str = "
-    c1-2 send startup
-    c1-2 expect ready
-    c1 send write q1 2900
-    h1 expect id=q1
-    h1 send value one primary
-    c1 expect value one
+    c1-2 start
+    h1 serve c1 write q1 2900 = one primary
 ";
 
 #[rstest]
@@ -129,8 +103,7 @@
 fn an_answer_that_tells_too_old_a_position_reaches_nobody(#[case] asks: &str, #[case] ahead: &str) {
     let text = format!(
         "{DEPOSED}
-        c2 send {asks} q2 1900
-        h1 expect id=q2
+        h1 take c2 {asks} q2 1900
         h1 send value old replica {ahead}
         c2 expect error 53300
         proxy expect figures stale=1 ok=1 served=1"
@@ -144,10 +117,8 @@
 fn one_that_is_recent_enough_is_served(#[case] asks: &str, #[case] ahead: &str) {
     let text = format!(
         "{DEPOSED}
-        c2 send {asks} q2 1900
-        h1 expect id=q2
-        h1 send value there replica {ahead}
-        c2 expect value there
+        h1 take c2 {asks} q2 1900
+        h1 answer c2 there replica {ahead}
         proxy expect figures stale=0"
     );
     play_in(&bounded(500, "pure"), 1, &text);
@@ -157,20 +128,14 @@
 #[test]
 fn a_read_that_was_answered_from_too_old_data_goes_elsewhere() {
     let text = "
-        c1-2 send startup
-        c1-2 expect ready
-        c1 send write q1 2900
-        any expect id=q1
-        any send value one primary
-        c1 expect value one
-        c2 send read q2 1900
-        any expect id=q2
+        c1-2 start
+        any serve c1 write q1 2900 = one primary
+        any take c2 read q2 1900
         any send value old replica -900
         h1 expect silence 20
         c1 send write q3 1900               # shows the other one to be the primary now
         any expect id=q3
-        any send value three primary
-        c1 expect value three
+        any answer c1 three primary
         any expect id=q2
         any send value there primary
         c2 expect value there";
@@ -182,8 +147,7 @@
 fn a_read_that_must_not_be_repeated_fails_when_its_answer_is_too_old() {
     let text = format!(
         "{DEPOSED}
-        c2 send read q2 1900
-        h1 expect id=q2
+        h1 take c2 read q2 1900
         h1 send value old replica -900
         c2 expect error 58000
         h1 expect silence 300
@@ -200,18 +164,14 @@
         list expect follow
         list send h2 draining
         proxy expect figures lists=2
-        c1-2 send startup
-        c1-2 expect ready
+        c1-2 start
         c1 send text INSERT INTO kv (name, content) VALUES ('k2', '\\x00') RETURNING content /* id=q0,c=write,t=acme,d=2900,k=8,cluster=0 */
         h1 expect id=q0
-        h1 send value zero primary
-        c1 expect value zero
+        h1 answer c1 zero primary
         list send h2 up
         proxy expect figures lists=3
-        c1 send write q1 2900
-        h1 expect id=q1
-        c2 send own q2 2900
-        h1 expect id=q2
+        h1 take c1 write q1 2900
+        h1 take c2 own q2 2900
         h2 expect silence 20
         h1 send value two primary
         c2 expect value two";
@@ -226,12 +186,8 @@
 fn no_fresh_read_goes_to_a_primary_that_failed_and_has_not_answered_since(#[case] asks: &str) {
     let text = format!(
         "
-        c1-2 send startup
-        c1-2 expect ready
-        c1 send write q1 2900
-        h1 expect id=q1
-        h1 send value one primary
-        c1 expect value one
+        c1-2 start
+        h1 serve c1 write q1 2900 = one primary
         h1 close
         h1 send hold
         c2 send write q2 1900               # it waits for a connection, which does not come up
@@ -263,10 +219,8 @@
 ) {
     let text = format!(
         "{CLOCK_IS_PROVED}{DEPOSED}
-        c2 send {asks} q2 1900
-        h1 expect id=q2
-        h1 send value there replica {ahead}
-        c2 expect value there
+        h1 take c2 {asks} q2 1900
+        h1 answer c2 there replica {ahead}
         proxy expect figures stale=0"
     );
     play_faulty(&format!("clock::step={step_ms}:1/1"), &bounded(500, "pure"), 2, &text);
@@ -283,8 +237,7 @@
 ) {
     let text = format!(
         "{CLOCK_IS_PROVED}{DEPOSED}
-        c2 send {asks} q2 1900
-        h1 expect id=q2
+        h1 take c2 {asks} q2 1900
         h1 send value old replica {ahead}
         c2 expect error 53300
         proxy expect figures stale=1 ok=5 served=5"
@@ -311,8 +264,7 @@
         h1 send value eight replica         # told anew: the same connection, no further one
         c8 expect value eight
         h1 expect id=q1
-        h1 send value one replica
-        c1 expect value one
+        h1 answer c1 one replica
         proxy expect figures connects=3",
         late_once_the_clock_is_proved()
     );
--- a/tests/sockets/large.rs
+++ b/tests/sockets/large.rs
@@ -14,14 +14,9 @@
         1,
         &format!(
             "
-        c1 send startup
-        c1 expect ready
-        c1 send read q1 2900
-        h1 expect id=q1
-        h1 send value {value} primary
-        c1 expect value {value}
-        c1 send read q2 900
-        h1 expect id=q2
+        c1 start
+        h1 serve c1 read q1 2900 = {value} primary
+        h1 take c1 read q2 900
         h1 send value short primary
         c1 expect value short"
         ),
@@ -37,8 +32,7 @@
         1,
         &format!(
             "
-            c1-6 send startup
-            c1-6 expect ready
+            c1-6 start
             c1-6 send read q@ 2900
             any expect id=q
             any send value {value} primary
@@ -65,16 +59,13 @@
         1,
         &format!(
             "
-            c1 send startup
-            c1 expect ready
-            c1 send read q1 900
-            h1 expect id=q1
+            c1 start
+            h1 take c1 read q1 900
             h1 try value {value} primary
             h1 expect id=q1
             h1 try value {value} primary
             c1 expect error 53300
-            c1 send read q2 900
-            h1 expect id=q2
+            h1 take c1 read q2 900
             h1 send value short primary
             c1 expect value short"
         ),
@@ -92,15 +83,12 @@
         1,
         &format!(
             "
-            c1-2 send startup
-            c1-2 expect ready
-            c1 send read q1 2900
-            h1 expect id=q1
+            c1-2 start
+            h1 take c1 read q1 2900
             h1 send raw {BEGUN}
             h1 close
             c1 expect gone
-            c2 send read q2 900
-            h1 expect id=q2
+            h1 take c2 read q2 900
             h1 send value fine primary
             c2 expect value fine"
         ),
@@ -114,10 +102,8 @@
         1,
         &format!(
             "
-            c1 send startup
-            c1 expect ready
-            c1 send read q1 2900
-            h1 expect id=q1
+            c1 start
+            h1 take c1 read q1 2900
             h1 send raw {BEGUN}
             c1 expect within 4000 gone"
         ),
@@ -132,10 +118,8 @@
         1,
         &format!(
             "
-            c1 send startup
-            c1 expect ready
-            c1 send read q1 2900
-            h1 expect id=q1
+            c1 start
+            h1 take c1 read q1 2900
             h1 send raw {BEGUN}{part}
             c1 expect within 500 bytes {BEGUN}{part}
             c1 close"
@@ -159,10 +143,8 @@
         1,
         &format!(
             "
-            c1 send startup
-            c1 expect ready
-            c1 send read q1 2900
-            h1 expect id=q1
+            c1 start
+            h1 take c1 read q1 2900
             h1 send raw {notice}{described}{row}{end}
             c1 expect value {value}"
         ),
--- a/tests/sockets/leaving.rs
+++ b/tests/sockets/leaving.rs
@@ -25,21 +25,17 @@
 ) {
     let text = "
         h1 send load x0=1.5,x1=1,util=0.1
-        c9 send startup
-        c9 expect ready
+        c9 start
         c9 send read q0 2900                # the host is known as the primary
         h1 expect id=q0
-        h1 send value zero primary
-        c9 expect value zero
+        h1 answer c9 zero primary
         h1 expect knock
         wait 20                             # a connection rests for 3 ms after its answer
-        c8 send startup
-        c8 expect ready
+        c8 start
         c8 send read q00 2900               # holds the one connection there is
         h1 expect id=q00
         h1 send hold
-        c1 send startup
-        c1 expect ready
+        c1 start
         c1 send ASKS
         h1 expect knock
         proxy expect figures taken=3
@@ -49,8 +45,7 @@
         h1 expect silence 400
         h1 send value there primary         # the others do not suffer
         c8 expect value there
-        c8 send read q3 2900
-        h1 expect id=q3
+        h1 take c8 read q3 2900
         proxy expect figures sent=4 moot=1 cancelled=0";
     play_in(&patient(cancel), 1, &text.replace("LEAVES", leaves).replace("ASKS", asks));
 }
@@ -59,12 +54,8 @@
 #[rstest]
 fn not_sent_once_there_is_a_place(#[values(true, false)] cancel: bool) {
     let text = "
-        c1-10 send startup
-        c1-10 expect ready
-        c1 send read q1 5900
-        h1 expect id=q1
-        h1 send value one primary
-        c1 expect value one
+        c1-10 start
+        h1 serve c1 read q1 5900 = one primary
         c1-9 send read r@ 5900
         h1 expect c=any
         h1 expect c=any
@@ -90,10 +81,8 @@
 #[rstest]
 fn not_sent_from_behind_another(#[values("close", "close half", "close reset")] leaves: &str) {
     let text = "
-        c1 send startup
-        c1 expect ready
-        c1 send write q1 2900
-        h1 expect id=q1
+        c1 start
+        h1 take c1 write q1 2900
         c1 send read q2 2900
         c1 send part 60000
         c1 LEAVES
@@ -108,14 +97,10 @@
 #[rstest]
 fn none_of_several_is_sent_again(#[values("close", "close half", "close reset")] leaves: &str) {
     let text = "
-        c1 send startup
-        c1 expect ready
-        c1 send write q1 2900
-        h1 expect id=q1
-        c1 send read q2 2900 k2
-        h1 expect id=q2
-        c1 send read q3 2900 k3
-        h1 expect id=q3
+        c1 start
+        h1 take c1 write q1 2900
+        h1 take c1 read q2 2900 k2
+        h1 take c1 read q3 2900 k3
         c1 send write q4 2900
         proxy expect figures taken=3
         c1 LEAVES
@@ -134,8 +119,7 @@
 #[rstest]
 fn not_sent_after_a_penalty(#[values("close", "close half", "close reset")] leaves: &str) {
     let text = "
-        c1 send startup
-        c1 expect ready
+        c1 start
         c1 send text SELECT 1
         c1 expect error 42601
         c1 send text SELECT 2
@@ -156,8 +140,7 @@
         list expect follow
         list send h1 draining
         proxy expect figures lists=2
-        c1 send startup
-        c1 expect ready
+        c1 start
         c1 send read q1 2900
         proxy expect figures taken=1
         h1 expect silence 30
@@ -166,8 +149,7 @@
         list send h1 up
         proxy expect figures lists=3
         h1 expect silence 400
-        c2 send startup
-        c2 expect ready
+        c2 start
         c2 send read q2 2900
         h1 expect id=q2";
     play_in(&patient(false), 1, &text.replace("LEAVES", leaves));
@@ -178,10 +160,8 @@
 fn not_sent_a_second_time(#[values("close", "close half", "close reset")] leaves: &str) {
     let text = "
         list expect follow
-        c1 send startup
-        c1 expect ready
-        c1 send read q1 2900
-        h1 expect id=q1
+        c1 start
+        h1 take c1 read q1 2900
         list send h1 draining
         proxy expect figures lists=2
         h1 send error 53300
@@ -209,8 +189,7 @@
         "
         list expect follow
         {before}
-        c1 send startup
-        c1 expect ready
+        c1 start
         c1 send read q1 2900
         {out}
         c2 send cancel c1
@@ -219,10 +198,7 @@
         proxy expect figures left=1
         {after}
         h1 expect silence 400
-        c1 send read q2 2900
-        h1 expect id=q2
-        h1 send value two primary
-        c1 expect value two
+        h1 serve c1 read q2 2900 = two primary
         proxy expect figures served=1 taken=2"
     );
     play_in(&patient(false), 1, &text);
@@ -232,12 +208,9 @@
 #[test]
 fn those_behind_one_that_is_called_off_go_on() {
     let text = "
-        c1 send startup
-        c1 expect ready
-        c1 send write q1 2900
-        h1 expect id=q1
-        c1 send read q2 2900 k2
-        h1 expect id=q2
+        c1 start
+        h1 take c1 write q1 2900
+        h1 take c1 read q2 2900 k2
         h1 send value two primary
         c1 send read q3 2900
         c2 send cancel c1
@@ -245,8 +218,7 @@
         c1 expect within 100 error 57014
         c1 expect within 100 value two
         h1 expect id=q3
-        h1 send value three primary
-        c1 expect value three
+        h1 answer c1 three primary
         proxy expect figures left=1 ok=2";
     play_in(&patient(false), 1, text);
 }
@@ -255,12 +227,10 @@
 #[test]
 fn a_cancel_without_a_request_changes_nothing() {
     let text = "
-        c1 send startup
-        c1 expect ready
+        c1 start
         c2 send cancel c1
         c2 expect closed
-        c1 send read q1 2900
-        h1 expect id=q1
+        h1 take c1 read q1 2900
         c3 send cancel
         c3 expect closed
         c1 expect silence 100
@@ -278,21 +248,17 @@
 ) {
     let text = "
         h1 send load x0=1.5,x1=1,util=0.1
-        c9 send startup
-        c9 expect ready
+        c9 start
         c9 send read q0 2900                # the host is known as the primary
         h1 expect id=q0
-        h1 send value zero primary
-        c9 expect value zero
+        h1 answer c9 zero primary
         h1 expect knock
         wait 20
-        c8 send startup
-        c8 expect ready
+        c8 start
         c8 send read q00 2900               # holds the one connection there is
         h1 expect id=q00
         h1 send hold
-        c1 send startup
-        c1 expect ready
+        c1 start
         c1 send ASKS
         h1 expect knock
         proxy expect figures taken=3
@@ -314,10 +280,8 @@
     #[values("send error XX000", "send error 53300", "close")] fails: &str,
 ) {
     let text = "
-        c1 send startup
-        c1 expect ready
-        c1 send read q1 2900
-        any expect id=q1
+        c1 start
+        any take c1 read q1 2900
         proxy send STOP
         c1 LEAVES
         wait 20
--- a/tests/sockets/log.rs
+++ b/tests/sockets/log.rs
@@ -21,8 +21,7 @@
     let requests = served(REQUESTS);
     let text = format!(
         "
-        c1 send startup
-        c1 expect ready
+        c1 start
         proxy send unread
         {requests}
         proxy send read
@@ -39,8 +38,7 @@
     let requests = served(REQUESTS);
     let text = format!(
         "
-        c1 send startup
-        c1 expect ready
+        c1 start
         proxy send unread
         {requests}
         c1 send terminate
@@ -54,8 +52,7 @@
 #[test]
 fn the_log_says_when_the_proxy_was_held_up() {
     let text = "
-        c1 send startup
-        c1 expect ready
+        c1 start
         proxy expect log event loop did not wait for long busy_ms=15 processor_ms= run_queue_ms=";
     play_faulty("write:client:hold=1500:1/1", &settings(), 1, text);
 }
--- a/tests/sockets/memory.rs
+++ b/tests/sockets/memory.rs
@@ -7,8 +7,7 @@
 #[case::a_full_request_table_refuses_reads_and_keeps_room_for_a_write(
     "memory: {purposes: {requests: {cap: 6KiB, reserve: 0B}}}",
     "
-    c1-6 send startup
-    c1-6 expect ready
+    c1-6 start
     c1-4 send read q@ 2900
     wait 100
     c5 send read q5 2900
@@ -19,20 +18,17 @@
     h1 expect id=q
     h1 expect id=q
     h1 expect id=w1
-    h1 send value done primary
-    c6 expect value done
+    h1 answer c6 done primary
     proxy expect log memory reservations rejected purpose=requests"
 )]
 #[case::who_begins_more_than_there_is_room_for_is_told_and_hurts_nobody(
     "memory: {purposes: {client-buffers: {cap: 48KiB, reserve: 0B}}}",
     "
-    c1-2 send startup
-    c1-2 expect ready
+    c1-2 start
     c1 send part 60000
     c1 expect within 1000 error 53300
     c1 expect closed
-    c2 send read q1 900
-    h1 expect id=q1
+    h1 take c2 read q1 900
     h1 send value fine primary
     c2 expect value fine"
 )]
@@ -40,8 +36,7 @@
     "memory: {purposes: {connections: {cap: 20KiB, reserve: 0B}}}",
     "
     wait 200                            # whoever looked whether the proxy listens has left
-    c1-3 send startup
-    c1-3 expect ready
+    c1-3 start
     c4 expect within 500 closed
     c1 send terminate
     c1 expect closed
@@ -61,8 +56,7 @@
         "memory: {purposes: {client-buffers: {cap: 200KiB, reserve: 0B}}}",
         1,
         "
-        c1-3 send startup
-        c1-3 expect ready
+        c1-3 start
         c2-3 send read q@ 900           # so that they are known by their class
         h1 expect id=q
         h1 send value fine primary
@@ -95,10 +89,7 @@
         c23 send startup
         c23 expect within 500 ready
         wait 100
-        c23 send read q1 900
-        h1 expect id=q1
-        h1 send value fine primary
-        c23 expect value fine
+        h1 serve c23 read q1 900 = fine primary
         c1 expect within 500 error 53300
         c1 expect closed",
     );
--- a/tests/sockets/pipelining.rs
+++ b/tests/sockets/pipelining.rs
@@ -15,14 +15,10 @@
 #[test]
 fn requests_run_beside_each_other_and_their_answers_keep_their_order() {
     let text = "
-        c1 send startup
-        c1 expect ready
-        c1 send write q1 2900
-        h1 expect id=q1
-        c1 send read q2 2900 k2
-        h1 expect id=q2
-        c1 send read q3 2900 k3
-        h1 expect id=q3
+        c1 start
+        h1 take c1 write q1 2900
+        h1 take c1 read q2 2900 k2
+        h1 take c1 read q3 2900 k3
         h1 send value three primary
         h1 expect again id=q2
         h1 send error XX000
@@ -30,8 +26,7 @@
         h1 send value two primary
         c1 expect silence 50
         h1 expect again id=q1
-        h1 send value one primary
-        c1 expect value one
+        h1 answer c1 one primary
         c1 expect value two
         c1 expect value three
         proxy expect figures taken=3 served=3 pipelined=2";
@@ -54,8 +49,7 @@
         h1 expect again id=q3
         h1 send value three primary
         h1 expect again id=q1
-        h1 send value one primary
-        c1 expect value one
+        h1 answer c1 one primary
         h1 expect id=q2
         h1 send value two primary
         h1 expect id=q4
@@ -70,14 +64,11 @@
 #[test]
 fn the_time_of_a_request_runs_from_its_arrival() {
     let text = "
-        c1 send startup
-        c1 expect ready
-        c1 send write q1 2900
-        h1 expect id=q1
+        c1 start
+        h1 take c1 write q1 2900
         c1 send read q2 900
         wait 350
-        h1 send value one primary
-        c1 expect value one
+        h1 answer c1 one primary
         h1 expect id=q2 ,d=5                # some 540 ms
         h1 send value two primary
         c1 expect value two";
@@ -91,12 +82,10 @@
 #[case::a_write("write q1 2900 k1", "error 58000")]
 fn a_slow_request_does_not_cost_the_one_behind_it_its_answer(#[case] slow: &str, #[case] answer: &str) {
     let text = "
-        c1 send startup
-        c1 expect ready
+        c1 start
         c1 send SLOW
         h1 expect id=q1
-        c1 send read q2 500 k2
-        h1 expect id=q2
+        h1 take c1 read q2 500 k2
         h1 send value two primary
         c1 expect silence 400
         c1 expect within 150 ANSWER
@@ -109,12 +98,9 @@
 #[test]
 fn a_write_is_waited_for_while_the_one_behind_it_has_time() {
     let text = "
-        c1 send startup
-        c1 expect ready
-        c1 send write q1 2900
-        h1 expect id=q1
-        c1 send read q2 700 k2
-        h1 expect id=q2
+        c1 start
+        h1 take c1 write q1 2900
+        h1 take c1 read q2 700 k2
         h1 send value two primary
         h1 expect again id=q1
         wait 500
@@ -130,10 +116,8 @@
 #[case::a_statement_without_sense("text SELECT 1", "42601")]
 fn an_error_behind_a_request_has_its_turn_and_its_time(#[case] bad: &str, #[case] code: &str) {
     let text = "
-        c1 send startup
-        c1 expect ready
-        c1 send read q1 20000
-        h1 expect id=q1
+        c1 start
+        h1 take c1 read q1 20000
         c1 send BAD
         c1 expect silence 100
         c1 expect within 2700 error 53300
@@ -145,8 +129,7 @@
 #[test]
 fn answers_are_written_while_statements_wait_after_an_error() {
     let text = "
-        c1 send startup
-        c1 expect ready
+        c1 start
         c1 send text SELECT 1
         c1 expect error 42601
         c1 send text SELECT 2
@@ -154,8 +137,7 @@
         c1 send text SELECT 3
         c1 expect error 42601
         wait 150
-        c1 send read q1 2900
-        h1 expect id=q1
+        h1 take c1 read q1 2900
         c1 send text SELECT 4
         c1 send read q2 2900 k2
         h1 send value one primary
@@ -171,17 +153,13 @@
 #[test]
 fn a_farewell_waits_for_the_answers_before_it() {
     let text = "
-        c1 send startup
-        c1 expect ready
-        c1 send read q1 2900
-        h1 expect id=q1
-        c1 send read q2 2900
-        h1 expect id=q2
+        c1 start
+        h1 take c1 read q1 2900
+        h1 take c1 read q2 2900
         c1 send terminate
         h1 send value two primary
         h1 expect again id=q1
-        h1 send value one primary
-        c1 expect value one
+        h1 answer c1 one primary
         c1 expect value two
         c1 expect closed";
     play_in(&unhurried(), 1, text);
@@ -191,16 +169,13 @@
 #[test]
 fn what_the_proxy_answers_by_itself_has_its_turn() {
     let text = "
-        c1 send startup
-        c1 expect ready
-        c1 send read q1 2900
-        h1 expect id=q1
+        c1 start
+        h1 take c1 read q1 2900
         c1 send text SET a TO 1
         c1 send text
         c1 send sync
         c1 expect silence 100
-        h1 send value one primary
-        c1 expect value one
+        h1 answer c1 one primary
         c1 expect ready
         c1 expect empty
         c1 expect ready";
@@ -214,13 +189,10 @@
 #[case::a_host_that_hangs("", "error 58000")]
 fn sigterm_owes_each_its_answer(#[case] host: &str, #[case] first: &str) {
     let text = "
-        c1 send startup
-        c1 expect ready
-        c1 send write q1 60000
-        h1 expect id=q1
+        c1 start
+        h1 take c1 write q1 60000
         c1 send read q2 60000
-        c1 send read q3 60000 k2
-        h1 expect id=q3
+        h1 take c1 read q3 60000 k2
         h1 send value three primary
         h1 expect again id=q1
         c1 send raw 510000000a5345
@@ -243,19 +215,15 @@
 #[test]
 fn quiesce_owes_each_its_answer() {
     let text = "
-        c1 send startup
-        c1 expect ready
-        c1 send read q1 2900
-        h1 expect id=q1
-        c1 send read q2 2900
-        h1 expect id=q2
+        c1 start
+        h1 take c1 read q1 2900
+        h1 take c1 read q2 2900
         operator send quiesce
         operator expect 200
         wait 600
         h1 send value two primary
         h1 expect again id=q1
-        h1 send value one primary
-        c1 expect value one
+        h1 answer c1 one primary
         c1 expect value two
         c1 expect closed";
     play_in(&unhurried(), 1, text);
@@ -265,10 +233,8 @@
 #[test]
 fn a_flood_is_bounded_and_answered_in_order() {
     let mut text = "
-        c1 send startup
-        c1 expect ready
-        c1 send read q1 2900 k1
-        h1 expect id=q1
+        c1 start
+        h1 take c1 read q1 2900 k1
         h1 send value v1 primary
         c1 expect value v1\n"
         .to_owned();
@@ -284,14 +250,11 @@
 #[test]
 fn without_memory_for_their_answers_requests_run_one_by_one() {
     let text = "
-        c1 send startup
-        c1 expect ready
-        c1 send read q1 2900 k1
-        h1 expect id=q1
+        c1 start
+        h1 take c1 read q1 2900 k1
         c1 send read q2 2900 k2
         h1 expect silence 100
-        h1 send value one primary
-        c1 expect value one
+        h1 answer c1 one primary
         h1 expect id=q2
         h1 send value two primary
         c1 expect value two";
@@ -302,10 +265,8 @@
 #[test]
 fn what_waits_for_a_conflict_has_an_answer_in_its_time() {
     let text = "
-        c1 send startup
-        c1 expect ready
-        c1 send write q1 2900
-        h1 expect id=q1
+        c1 start
+        h1 take c1 write q1 2900
         c1 send read q2 400
         c1 expect silence 300
         c1 expect within 150 error 58000
--- a/tests/sockets/proxy.rs
+++ b/tests/sockets/proxy.rs
@@ -7,34 +7,29 @@
 #[case::a_read_is_served_to_the_letter(
     1,
     "
-    c1 send startup
-    c1 expect ready
+    c1 start
     c1 send read q1 900
     h1 expect id=q1,c=any,t=acme k=7,cluster=0 k1
-    h1 send value hello primary
-    c1 expect value hello
+    h1 answer c1 hello primary
     c1 send text ;
     c1 expect empty"
 )]
 #[case::what_is_split_and_pipelined_is_answered_in_order(
     1,
     "
-    c1 send startup
-    c1 expect ready
+    c1 start
     c1 send raw 5100000008534554        # `SET`, cut off before its last byte,
     wait 50
     c1 send raw 00510000000500          # which comes with an empty query
     c1 expect ready
     c1 expect empty
-    c1 send read q1 900
-    h1 expect id=q1
+    h1 take c1 read q1 900
     c1 send read q2 900
     h1 expect id=q2                     # beside the one before
     h1 send value two primary
     c1 expect silence 50                # but its answer waits for that one's
     h1 expect again id=q1
-    h1 send value one primary
-    c1 expect value one
+    h1 answer c1 one primary
     c1 expect value two"
 )]
 #[case::encryption_is_declined_and_the_session_goes_on(
@@ -42,16 +37,14 @@
     "
     c1 send ssl
     c1 expect N
-    c1 send startup
-    c1 expect ready
+    c1 start
     c2 send cancel
     c2 expect closed"
 )]
 #[case::extended_queries_are_declined_up_to_sync(
     1,
     "
-    c1 send startup
-    c1 expect ready
+    c1 start
     c1 send raw 500000000800000000      # Parse
     c1 send raw 44000000065300
     c1 send sync
@@ -62,18 +55,15 @@
 #[case::a_message_of_no_protocol_ends_the_connection(
     1,
     "
-    c1 send startup
-    c1 expect ready
+    c1 start
     c1 send raw 2100000004
     c1 expect error 08P01
     c1 expect closed
-    c2 send startup
-    c2 expect ready
+    c2 start
     c2 send raw 51000000027f            # shorter than its own length
     c2 expect error 08P01
     c2 expect closed
-    c3 send startup
-    c3 expect ready
+    c3 start
     c3 send raw 517fffffff              # larger than is taken
     c3 expect error 54000
     c3 expect closed
@@ -83,8 +73,7 @@
 #[case::requests_that_make_no_sense_fail_and_are_not_refused(
     1,
     "
-    c1 send startup
-    c1 expect ready
+    c1 start
     c1 send text SELECT 1
     c1 expect error 42601
     c1 send text SELECT content FROM kv WHERE name = 'a' /* id=1,c=any,t=acme,d=soon,cluster=0 */
@@ -97,8 +86,7 @@
     c1 expect error 22023
     c1 send text INSERT INTO kv (name, content) VALUES ('a', '\\x00') RETURNING content /* id=1,c=any,t=acme,d=500,cluster=0 */
     c1 expect error 22023
-    c2 send startup
-    c2 expect ready
+    c2 start
     c2 send text INSERT INTO kv (name, content) VALUES ('a', '\\x00') RETURNING content /* id=1,c=write,t=acme,d=500,cluster=0 */
     c2 expect error 42601               # without its key it could not be repeated
     c2 send raw 5100000006ff00          # not UTF-8
@@ -111,10 +99,8 @@
 #[case::the_id_of_an_open_request_is_refused_to_others(
     1,
     "
-    c1-2 send startup
-    c1-2 expect ready
-    c1 send read q1 2900
-    h1 expect id=q1
+    c1-2 start
+    h1 take c1 read q1 2900
     c2 send read q1 2900
     c2 expect error 22023
     h1 send value mine primary          # the one that was there first goes on
@@ -128,8 +114,7 @@
     1,
     "
     c1 send raw 0000
-    c2-3 send startup
-    c2-3 expect ready
+    c2-3 start
     c3 send raw 51000000
     c1 expect within 2000 closed
     c2 expect within 2900 closed
@@ -138,8 +123,7 @@
 #[case::who_repeats_at_once_what_was_turned_away_has_to_wait(
     1,
     "
-    c1 send startup
-    c1 expect ready
+    c1 start
     c1 send raw 510000000661005100000006610051000000066100510000000661005100000006610051000000066100
     c1 send raw 51000000066100510000000661005100000006610051000000066100
     c1 expect within 100 error 42601
@@ -157,8 +141,7 @@
 #[case::who_has_made_no_sense_too_often_is_closed_on_without_a_second_answer(
     1,
     "
-    c1 send startup
-    c1 expect ready
+    c1 start
     c1 send text SELECT 1
     c1 expect error 42601
     c1 send text SELECT 1
@@ -188,8 +171,7 @@
     c19 send startup                    # being asked too early does not start their time anew
     c19 expect ready
     wait 900
-    c20 send startup
-    c20 expect ready
+    c20 start
     c1-18 expect within 100 closed
     c20 send text
     c20 expect empty"
@@ -200,16 +182,14 @@
     c1-40 send raw 00                   # 64 descriptors leave 22 for clients
     c41 send startup
     c41 expect within 500 ready
-    c41 send read q1 900
-    h1 expect id=q1
+    h1 take c41 read q1 900
     h1 send value x primary
     c41 expect value x"
 )]
 #[case::a_value_that_looks_like_a_comment_is_none(
     1,
     "
-    c1 send startup
-    c1 expect ready
+    c1 start
     c1 send text SELECT content FROM kv WHERE name = '/* d=1 */' /* id=9,c=any,t=acme,d=800,cluster=0 */
     h1 expect '/* d=1 */' id=9
     h1 send value x primary
@@ -218,10 +198,8 @@
 #[case::a_reset_read_goes_to_another_host(
     2,
     "
-    c1 send startup
-    c1 expect ready
-    c1 send read q1 900
-    any expect id=q1
+    c1 start
+    any take c1 read q1 900
     any close
     any expect id=q1
     any send value second primary
@@ -230,8 +208,7 @@
 #[case::a_write_turned_away_is_not_failed(
     1,
     "
-    c1 send startup
-    c1 expect ready
+    c1 start
     c1 send write w1 2000
     h1 expect INSERT id=w1
     h1 send error 25006
@@ -242,20 +219,16 @@
 #[case::a_silent_host_leaves_an_answer_before_the_client_goes(
     1,
     "
-    c1 send startup
-    c1 expect ready
-    c1 send read q1 400
-    h1 expect id=q1
+    c1 start
+    h1 take c1 read q1 400
     c1 expect silence 300
     c1 expect within 200 error 53300 500    # at 385 ms; the rest is for a busy machine"
 )]
 #[case::an_error_of_a_host_is_no_value(
     1,
     "
-    c1 send startup
-    c1 expect ready
-    c1 send read q1 900
-    h1 expect id=q1
+    c1 start
+    h1 take c1 read q1 900
     h1 send error XX000
     h1 expect id=q1
     h1 send error XX000
@@ -264,10 +237,8 @@
 #[case::the_attempt_of_a_client_that_left_is_called_off(
     1,
     "
-    c1 send startup
-    c1 expect ready
-    c1 send read q1 60000
-    h1 expect id=q1
+    c1 start
+    h1 take c1 read q1 60000
     c1 close
     h1 expect closed
     proxy send USR1
@@ -276,10 +247,8 @@
 #[case::a_client_that_ends_its_side_hears_one_answer(
     1,
     "
-    c1 send startup
-    c1 expect ready
-    c1 send read q1 60000
-    h1 expect id=q1
+    c1 start
+    h1 take c1 read q1 60000
     c1 close half
     c1 expect error 57014
     h1 expect closed
@@ -288,31 +257,21 @@
 #[case::a_pooled_connection_that_was_closed_is_not_used(
     1,
     "
-    c1 send startup
-    c1 expect ready
-    c1 send write w1 900
-    h1 expect id=w1
-    h1 send value one primary
-    c1 expect value one
+    c1 start
+    h1 serve c1 write w1 900 = one primary
     h1 close
-    c1 send write w2 900
-    h1 expect id=w2
-    h1 send value two primary
-    c1 expect value two
+    h1 serve c1 write w2 900 = two primary
     proxy send USR1
     proxy expect log counters totals= sent=2 ok=2 reset=0"
 )]
 #[case::a_garbled_answer_is_none(
     2,
     "
-    c1 send startup
-    c1 expect ready
+    c1 start
     c1 send write w0 900                # by now the roles are known: h1 is the primary
     h1 expect id=w0
-    h1 send value ok primary
-    c1 expect value ok
-    c1 send read q1 900
-    h2 expect id=q1
+    h1 answer c1 ok primary
+    h2 take c1 read q1 900
     h2 send raw 44000000
     h2 send raw 02
     any expect id=q1
@@ -322,33 +281,24 @@
 #[case::a_line_with_no_end_is_none(
     1,
     "
-    c1 send startup
-    c1 expect ready
-    c1 send read q1 60000
-    h1 expect id=q1
+    c1 start
+    h1 take c1 read q1 60000
     h1 send raw 44000000ff00
     h1 expect id=q1
-    h1 send value good primary
-    c1 expect value good
+    h1 answer c1 good primary
     proxy send USR1
     proxy expect log counters totals= error=1 reset=0 timeout=0 cancelled=0"
 )]
 #[case::a_second_copy_is_not_the_next_answer(
     1,
     "
-    c1 send startup
-    c1 expect ready
-    c1 send read q1 900
-    h1 expect id=q1
+    c1 start
+    h1 take c1 read q1 900
     h1 send parts TDCZTDCZ one
     c1 expect value one
-    c1 send read q2 900
-    h1 expect id=q2
-    h1 send value two primary
-    c1 expect value two
+    h1 serve c1 read q2 900 = two primary
     h1 send parts TDCZ two              # behind the answer, as the next request comes
-    c1 send read q3 900
-    h1 expect id=q3
+    h1 take c1 read q3 900
     h1 send value three primary
     c1 expect value three"
 )]
@@ -356,8 +306,7 @@
     1,
     "
     h1 send load x0=12,x1=1,util=##
-    c1 send startup
-    c1 expect ready
+    c1 start
     c1 send write w1 2900
     h1 expect silence 300               # nobody is known to be the primary
     h1 send load true
@@ -367,46 +316,33 @@
     2,
     "
     h2 send load x0=1,x1=0,util=0.1     # far behind
-    c1 send startup
-    c1 expect ready
-    c1 send write w1 900
-    h1 expect id=w1
-    h1 send value done primary
-    c1 expect value done
+    c1 start
+    h1 serve c1 write w1 900 = done primary
     c1 send read q1 900
     h2 expect id=q1                     # a host never heard of would be tried: it checks reads itself
-    h2 send value x replica -60000
-    c1 expect value x
-    c1 send write w2 900
-    h1 expect id=w2
+    h2 answer c1 x replica -60000
+    h1 take c1 write w2 900
     h1 send value done primary          # committed where no replica is known to be
     c1 expect value done
     c1 send own r1 900
     h1 expect id=r1                     # so only the primary will do
-    h1 send value mine primary
-    c1 expect value mine
+    h1 answer c1 mine primary
     h2 expect silence 20"
 )]
 #[case::a_draining_host_gets_nothing_new(
     2,
     "
     list expect since=1
-    c1 send startup
-    c1 expect ready
+    c1 start
     c1 send write w0 900                # by now the roles are known: h1 is the primary
     h1 expect id=w0
-    h1 send value ok primary
-    c1 expect value ok
-    c1 send read q1 900
-    h2 expect id=q1
+    h1 answer c1 ok primary
+    h2 take c1 read q1 900
     list send h2 draining
     wait 50
     h2 send value finished              # what it has it finishes
     c1 expect value finished
-    c1 send read q2 900
-    h1 expect id=q2
-    h1 send value other primary
-    c1 expect value other
+    h1 serve c1 read q2 900 = other primary
     list send h2 up
     wait 50
     c1 send read q3 900
@@ -415,12 +351,8 @@
 #[case::an_idle_connection_is_retired_well_before_its_host_would(
     1,
     "
-    c1 send startup
-    c1 expect ready
-    c1 send write w1 900
-    h1 expect id=w1
-    h1 send value one primary
-    c1 expect value one
+    c1 start
+    h1 serve c1 write w1 900 = one primary
     wait 1100                           # the host would close it after 1500 ms
     h1 expect closed"
 )]
@@ -429,8 +361,7 @@
     "
     c1-22 send startup                  # 64 descriptors leave 22 for clients
     c1-22 expect ready
-    c23 send startup
-    c23 expect ready
+    c23 start
     c23 send read q1 900
     c23 expect error 53300 500
     c23 expect closed
@@ -440,34 +371,26 @@
     c24 send startup                    # by now the others are idle for long: they make room
     c24 expect ready
     c1-22 expect closed
-    c24 send read q2 900
-    h1 expect id=q2
+    h1 take c24 read q2 900
     h1 send value x primary
     c24 expect value x"
 )]
 #[case::a_wait_beyond_all_measure_is_taken(
     1,
     "
-    c1 send startup
-    c1 expect ready
+    c1 start
     c1 send read q1 99999999999999999999
     h1 expect id=q1,c=any,t=acme,d=3
-    h1 send value x primary
-    c1 expect value x
+    h1 answer c1 x primary
     c1 send read q2 0
     c1 expect error 53300"
 )]
 #[case::a_position_beyond_all_measure_is_taken(
     1,
     "
-    c1 send startup
-    c1 expect ready
-    c1 send write w1 900
-    h1 expect id=w1
-    h1 send value x primary 9000000000000000000
-    c1 expect value x
-    c1 send own r1 900
-    h1 expect id=r1
+    c1 start
+    h1 serve c1 write w1 900 = x primary 9000000000000000000
+    h1 take c1 own r1 900
     h1 send value y primary
     c1 expect value y"
 )]
@@ -481,12 +404,10 @@
     list expect follow=1 since=2
     list send h2 up
     wait 50
-    c1 send startup
-    c1 expect ready
+    c1 start
     c1 send write w0 900                # by now the roles are known: h1 is the primary
     h1 expect id=w0
-    h1 send value ok primary
-    c1 expect value ok
+    h1 answer c1 ok primary
     c1 send read q1 900
     h2 expect id=q1"
 )]
@@ -513,40 +434,32 @@
     list expect follow=1 since=2
     list send h2 up
     wait 50
-    c1 send startup
-    c1 expect ready
+    c1 start
     c1 send write w0 900                # by now the roles are known: h1 is the primary
     h1 expect id=w0
-    h1 send value ok primary
-    c1 expect value ok
-    c1 send read q1 2000
-    h2 expect id=q1
+    h1 answer c1 ok primary
+    h2 take c1 read q1 2000
     proxy send TERM
     file send moved
     proxy send HUP
     list expect follow=1 since=3        # in a drain too
-    h2 send value x
-    c1 expect value x
+    h2 answer c1 x
     proxy expect exit 0"
 )]
 #[case::new_settings_bring_a_class_and_take_one_away_while_requests_keep_theirs(
     1,
     "
-    c1 send startup
-    c1 expect ready
-    c1 send read q1 2000
-    h1 expect id=q1
+    c1 start
+    h1 take c1 read q1 2000
     file send renamed any fast
     proxy send HUP
     proxy expect log configuration reloaded classes=4
     h1 send value old primary           # what came before keeps its class
     c1 expect value old
-    c2 send startup
-    c2 expect ready
+    c2 start
     c2 send text SELECT content FROM kv WHERE name = 'k1' /* id=q2,c=fast,t=acme,d=900,cluster=0 */
     h1 expect id=q2
-    h1 send value new primary
-    c2 expect value new
+    h1 answer c2 new primary
     c2 send read q3 900                 # `any` is gone: no new request of it
     c2 expect error 22023
     file send text {\"settings\":{}}
@@ -558,10 +471,8 @@
 #[case::a_quiesced_proxy_says_no_closes_what_is_idle_answers_what_it_holds_and_comes_back(
     1,
     "
-    c1-3 send startup
-    c1-3 expect ready
-    c1 send read q1 3000
-    h1 expect id=q1
+    c1-3 start
+    h1 take c1 read q1 3000
     operator send stats
     operator expect 200 gw.outstanding=1 gw.discovered=1 gw.results.any.succeeded=0
     operator send quiesce
@@ -580,8 +491,7 @@
     operator expect 200
     operator send health
     operator expect 200
-    c4 send startup
-    c4 expect ready
+    c4 start
     c4 send raw 510000000500
     c4 expect empty                     # the front's check hears yes again
     c4 expect silence 500               # and a connection stays
@@ -593,20 +503,16 @@
 #[case::a_new_process_beside_the_old_one_takes_over_its_address(
     1,
     "
-    c1 send startup
-    c1 expect ready
-    c1 send read q1 2000
-    h1 expect id=q1
+    c1 start
+    h1 take c1 read q1 2000
     new send start                      # the same client address: shared, not refused
     new expect log console listener
     proxy send TERM
     h1 send value old primary
     c1 expect value old                 # what the old one held is answered
     proxy expect exit 0
-    c2 send startup
-    c2 expect ready
-    c2 send read q2 2000
-    h1 expect id=q2
+    c2 start
+    h1 take c2 read q2 2000
     h1 send value new primary
     c2 expect value new                 # and the new one serves where the old one did
     new send TERM
@@ -615,24 +521,16 @@
 #[case::after_sigterm_all_is_answered_and_who_comes_is_served(
     1,
     "
-    c1 send startup
-    c1 expect ready
-    c2 send startup
-    c2 expect ready
-    c1 send read q1 4000
-    h1 expect id=q1
+    c1 start
+    c2 start
+    h1 take c1 read q1 4000
     proxy send TERM
-    c3 send startup
-    c3 expect ready
-    c3 send read q3 900
-    h1 expect id=q3
-    h1 send value late primary
-    c3 expect value late
+    c3 start
+    h1 serve c3 read q3 900 = late primary
     wait 1500
     c2 send read q2 60000               # other proxies may be down: who has a connection is served on it,
     h1 expect id=q2,c=any,t=acme,d=1    # though not for longer than this one lives
-    h1 send value later primary
-    c2 expect value later
+    h1 answer c2 later primary
     c2 expect within 1500 closed        # and goes elsewhere before SIGKILL
     c3 expect within 1500 closed
     c4 send startup                     # still there for the one that waits
@@ -652,8 +550,7 @@
 #[case::a_crowd_at_a_silent_host_is_answered_in_time(
     2,
     "
-    c1-16 send startup
-    c1-16 expect ready
+    c1-16 start
     c1-16 send read q@ 500
     any expect id=q
     c1-16 expect within 500 error 53300
@@ -664,30 +561,21 @@
     2,
     "
     list expect since=1
-    c1 send startup
-    c1 expect ready
-    c1 send write w0 900
-    h1 expect id=w0
-    h1 send value ok primary
-    c1 expect value ok
+    c1 start
+    h1 serve c1 write w0 900 = ok primary
     list send h1 removed
     h1 expect closed                    # idle connections to what is gone are of no use
     list send h1 up
     wait 50
-    c1 send write w1 900
-    h1 expect id=w1
+    h1 take c1 write w1 900
     h1 send value back primary
     c1 expect value back"
 )]
 #[case::counters_are_told_on_request_and_at_the_end(
     1,
     "
-    c1 send startup
-    c1 expect ready
-    c1 send read q1 900
-    h1 expect id=q1
-    h1 send value x primary
-    c1 expect value x
+    c1 start
+    h1 serve c1 read q1 900 = x primary
     proxy send USR1
     proxy expect log counters totals= taken=1 served=1 sent=1 ok=1
     c1 send terminate
@@ -711,14 +599,11 @@
         1,
         &format!(
             "
-            c1 send startup
-            c1 expect ready
-            c1 send read q1 2900
-            h1 expect id=q1
+            c1 start
+            h1 take c1 read q1 2900
             h1 send parts {parts} bad
             h1 expect id=q1
-            h1 send value good primary
-            c1 expect value good
+            h1 answer c1 good primary
             proxy send USR1
             proxy expect log counters totals= error=1 reset=0 ok=1"
         ),
--- a/tests/sockets/reported_role.rs
+++ b/tests/sockets/reported_role.rs
@@ -22,12 +22,8 @@
 
 /// The only host has answered as the primary, longer than a second ago.
 const QUIET_PRIMARY: &str = "
-    c1-3 send startup
-    c1-3 expect ready
-    c1 send write q1 2900
-    h1 expect id=q1
-    h1 send value one primary
-    c1 expect value one
+    c1-3 start
+    h1 serve c1 write q1 2900 = one primary
     wait 1200
 ";
 
@@ -40,11 +36,9 @@
 ) {
     let text = format!(
         "{QUIET_PRIMARY}
-        c2 send {out} q2 2900
-        h1 expect id=q2
+        h1 take c2 {out} q2 2900
         wait {later_ms}
-        c10 send startup
-        c10 expect ready
+        c10 start
         c10 send read q3 900
         h1 expect silence 200"
     );
@@ -57,19 +51,14 @@
 fn no_fresh_read_follows_an_older_answer_that_arrives_last(#[values(400, 700)] later_ms: u64) {
     let text = format!(
         "{QUIET_PRIMARY}
-        c2 send own q2 2900
-        h1 expect id=q2
-        c3 send own q3 2900
-        h1 expect id=q3
+        h1 take c2 own q2 2900
+        h1 take c3 own q3 2900
         wait 200
-        h1 send value three replica -5000
-        c3 expect value three
+        h1 answer c3 three replica -5000
         h1 expect again id=q2
-        h1 send value two primary -200
-        c2 expect value two
+        h1 answer c2 two primary -200
         wait {later_ms}
-        c10 send startup
-        c10 expect ready
+        c10 start
         c10 send read q4 900
         h1 expect silence 200"
     );
@@ -82,10 +71,8 @@
 fn no_fresh_read_goes_out_before_an_end_that_is_seen_late() {
     let text = format!(
         "{QUIET_PRIMARY}
-        c10 send startup
-        c10 expect ready
-        c2 send own q2 500
-        h1 expect id=q2
+        c10 start
+        h1 take c2 own q2 500
         proxy send STOP
         wait 800
         c10 send read q3 1900
@@ -103,13 +90,11 @@
     let value = "v".repeat(256 << 10);
     let text = format!(
         "{QUIET_PRIMARY}
-        c2 send own q2 2900
-        h1 expect id=q2
+        h1 take c2 own q2 2900
         h1 send value {value} replica -5000
         c2 expect answer
         wait 100
-        c10 send startup
-        c10 expect ready
+        c10 start
         c10 send read q3 900
         h1 expect silence 200"
     );
@@ -125,35 +110,20 @@
         list expect follow
         list send h2 draining
         proxy expect figures lists=2
-        c1-4 send startup
-        c1-4 expect ready
-        c1 send write q1 2900
-        h1 expect id=q1
-        h1 send value one primary
-        c1 expect value one
+        c1-4 start
+        h1 serve c1 write q1 2900 = one primary
         list send h2 up
         proxy expect figures lists=3
         wait 600
-        c2 send own q2 2900
-        h2 expect id=q2
-        h2 send value two replica {ahead_ms}
-        c2 expect value two
+        h2 serve c2 own q2 2900 = two replica {ahead_ms}
         wait 20
-        c3 send own q3 2900
-        h2 expect id=q3
-        h2 send value three replica
-        c3 expect value three
+        h2 serve c3 own q3 2900 = three replica
         list send h2 draining
         proxy expect figures lists=4
-        c4 send own q4 2900
-        h1 expect id=q4
-        h1 send value four primary
-        c4 expect value four
+        h1 serve c4 own q4 2900 = four primary
         wait 700
-        c10 send startup
-        c10 expect ready
-        c10 send read q5 900
-        h1 expect id=q5
+        c10 start
+        h1 take c10 read q5 900
         h1 send value five primary
         c10 expect value five"
     );
--- a/tests/sockets/role.rs
+++ b/tests/sockets/role.rs
@@ -40,13 +40,10 @@
 
 /// The only host has answered as the primary, longer ago than the bound of 0.5 s: only its role still recommends it.
 const PRIMARY: &str = "
-    c1-4 send startup
-    c1-4 expect ready
-    c1 send write q1 2900
-    h1 expect id=q1
+    c1-4 start
+    h1 take c1 write q1 2900
     h1 expect knock
-    h1 send value one primary
-    c1 expect value one
+    h1 answer c1 one primary
     wait 600
 ";
 
@@ -55,13 +52,10 @@
     list expect follow
     list send h2 draining
     proxy expect figures lists=2
-    c1-4 send startup
-    c1-4 expect ready
-    c1 send write q1 2900
-    h1 expect id=q1
+    c1-4 start
+    h1 take c1 write q1 2900
     h1 expect knock
-    h1 send value one primary
-    c1 expect value one
+    h1 answer c1 one primary
     list send h2 up
     proxy expect figures lists=3
     wait 600
@@ -71,8 +65,7 @@
 fn rejected_unsent(asks: &str) -> String {
     format!(
         "
-        c9 send startup
-        c9 expect ready
+        c9 start
         c9 send {asks} q9 900
         h1 expect silence 300
         c9 expect {REFUSED}
@@ -82,33 +75,19 @@
 
 /// A write that is answered as the primary, then a fresh read at once and one that only the role recommends.
 const ROLE_CONFIRMED: &str = "
-    c7-8 send startup
-    c7-8 expect ready
-    c7 send write w7 2900
-    h1 expect id=w7
-    h1 send value seven primary
-    c7 expect value seven
-    c7 send read r7 2900
-    h1 expect id=r7
-    h1 send value there primary
-    c7 expect value there
+    c7-8 start
+    h1 serve c7 write w7 2900 = seven primary
+    h1 serve c7 read r7 2900 = there primary
     wait 600
-    c8 send read r8 2900
-    h1 expect id=r8
-    h1 send value still primary
-    c8 expect value still
+    h1 serve c8 read r8 2900 = still primary
 ";
 
 /// The primary takes no connection, then one write whose answer is lost; so much later a read of this class comes.
 fn read_at_a_primary_in_doubt(asks: &str, later_ms: u64) -> String {
     format!(
         "
-        c1-4 send startup
-        c1-4 expect ready
-        c1 send write q1 2900
-        h1 expect id=q1
-        h1 send value one primary
-        c1 expect value one
+        c1-4 start
+        h1 serve c1 write q1 2900 = one primary
         h1 close
         h1 send hold
         c2 send write q2 1900               # it waits for a connection, which does not come up
@@ -120,8 +99,7 @@
         h1 expect id=q3
         c3 expect error
         wait {later_ms}
-        c5 send startup
-        c5 expect ready
+        c5 start
         c5 send {asks} q4 900
         "
     )
@@ -165,8 +143,7 @@
 fn no_fresh_read_goes_to_a_primary_in_doubt_that_speaks_tds(#[values(300, 3_300)] later_ms: u64) {
     let text = format!(
         "{PRIMARY}
-        c2 send write q2 900
-        h1 expect id=q2
+        h1 take c2 write q2 900
         c2 expect error
         wait {later_ms}
         {}{ROLE_CONFIRMED}",
@@ -183,17 +160,11 @@
 ) {
     let text = format!(
         "
-        c1-2 send startup
-        c1-2 expect ready
-        c1 send write q1 2900
-        h1 expect id=q1
-        h1 send value one primary
-        c1 expect value one
+        c1-2 start
+        h1 serve c1 write q1 2900 = one primary
         wait {quiet_ms}
-        c5 send startup
-        c5 expect ready
-        c5 send {asks} q2 2900
-        h1 expect id=q2
+        c5 start
+        h1 take c5 {asks} q2 2900
         h1 send value two primary
         c5 expect value two"
     );
@@ -211,10 +182,8 @@
 fn no_fresh_read_goes_to_a_primary_whose_attempts_timed_out(#[case] later_ms: u64, #[case] asks: &str) {
     let text = format!(
         "{PRIMARY}
-        c2 send write q2 900
-        h1 expect id=q2
-        c3 send write q3 600
-        h1 expect id=q3
+        h1 take c2 write q2 900
+        h1 take c3 write q3 600
         c2-3 expect error
         wait {later_ms}
         {}{ROLE_CONFIRMED}",
@@ -228,12 +197,10 @@
 fn no_fresh_read_goes_to_a_primary_that_hung_and_returned_as_a_replica() {
     let text = format!(
         "{PRIMARY}
-        c2 send write q2 600
-        h1 expect id=q2
+        h1 take c2 write q2 600
         c2 expect error
         wait 300
-        c3 send write q3 900
-        h1 expect id=q3
+        h1 take c3 write q3 900
         h1 send parts wrZ none
         c3 expect answer
         {}{ROLE_CONFIRMED}",
@@ -259,8 +226,7 @@
 ) {
     let text = format!(
         "{PRIMARY}
-        c2 send write q2 2900
-        h1 expect id=q2
+        h1 take c2 write q2 2900
         {ends}
         c2 expect answer
         {}{ROLE_CONFIRMED}",
@@ -276,8 +242,7 @@
 fn no_bounded_read_follows_a_known_end_that_was_cut_before_its_role(#[case] ends: &str) {
     let text = format!(
         "{PRIMARY}
-        c2 send write q2 2900
-        h1 expect id=q2
+        h1 take c2 write q2 2900
         {ends}
         c2 expect answer
         {}{ROLE_CONFIRMED}",
@@ -293,12 +258,9 @@
 fn no_fresh_read_follows_resets_of_several_queries(#[case] first: &str, #[values("read", "own")] asks: &str) {
     let text = format!(
         "{PRIMARY}
-        c2 send write q2 2900
-        h1 expect id=q2
-        c3 send write q3 2900
-        h1 expect id=q3
-        c4 send write q4 2900
-        h1 expect id=q4
+        h1 take c2 write q2 2900
+        h1 take c3 write q3 2900
+        h1 take c4 write q4 2900
         h1 expect again id=q2
         {first}
         h1 expect again id=q3
@@ -317,8 +279,7 @@
 fn a_role_reported_before_the_cut_counts_as_a_replicas() {
     let text = format!(
         "{PRIMARY}
-        c2 send write q2 2900
-        h1 expect id=q2
+        h1 take c2 write q2 2900
         h1 send parts TDCr two
         wait 50
         h1 close
@@ -335,18 +296,15 @@
 fn a_role_reported_before_the_cut_counts_as_a_primarys(#[case] parts: &str) {
     let text = format!(
         "{PRIMARY}
-        c3 send write q3 2900
-        h1 expect id=q3
+        h1 take c3 write q3 2900
         h1 close
         c3 expect error
-        c2 send write q2 2900
-        h1 expect id=q2
+        h1 take c2 write q2 2900
         h1 send parts {parts} two
         wait 50
         h1 close
         c2 expect answer
-        c4 send read q4 2900
-        h1 expect id=q4
+        h1 take c4 read q4 2900
         h1 send value four primary
         c4 expect value four"
     );
@@ -370,8 +328,7 @@
     });
     let text = format!(
         "{PRIMARY}
-        c2 send {left} q2 800
-        h1 expect id=q2
+        h1 take c2 {left} q2 800
         {leaves}
         {}{ROLE_CONFIRMED}",
         rejected_unsent("read")
@@ -391,22 +348,15 @@
         list expect follow
         list send h2 draining
         proxy expect figures lists=2
-        c1-2 send startup
-        c1-2 expect ready
-        c1 send write q1 2900
-        h1 expect id=q1
-        h1 send value one primary
-        c1 expect value one
-        c2 send own q2 2900
-        h1 expect id=q2
+        c1-2 start
+        h1 serve c1 write q1 2900 = one primary
+        h1 take c2 own q2 2900
         list send h2 up
         h2 expect id=q2
-        h2 send value two replica
-        c2 expect value two
+        h2 answer c2 two replica
         h1 expect closed
         wait 600
-        c9 send startup
-        c9 expect ready
+        c9 start
         c9 send read q9 900
         h1 expect silence 300
         h2 expect silence 20
@@ -432,8 +382,7 @@
     let rejected_unsent = rejected_unsent("read");
     format!(
         "{PRIMARY}
-        c2 send write q2 900
-        h1 expect id=q2
+        h1 take c2 write q2 900
         h1 send error {code}
         c2 expect answer
         wait {later_ms}
@@ -479,12 +428,8 @@
 
 const ANSWERED_200_MS_AGO: &str = "
     list expect follow
-    c1-4 send startup
-    c1-4 expect ready
-    c1 send write q1 2900
-    h1 expect id=q1
-    h1 send value one primary
-    c1 expect value one
+    c1-4 start
+    h1 serve c1 write q1 2900 = one primary
     wait 200
 ";
 
@@ -504,21 +449,12 @@
     let text = format!(
         "{PRIMARY_OF_TWO}
         {before}
-        c3 send {asks} q3 2900
-        h2 expect id=q3
-        h2 send value three primary
-        c3 expect value three
-        c4 send read q4 2900
-        h2 expect id=q4
-        h2 send value four primary
-        c4 expect value four
+        h2 take c3 {asks} q3 2900
+        h2 answer c3 three primary
+        h2 serve c4 read q4 2900 = four primary
         wait 600
-        c9 send startup
-        c9 expect ready
-        c9 send read q9 2900
-        h2 expect id=q9
-        h2 send value nine primary
-        c9 expect value nine
+        c9 start
+        h2 serve c9 read q9 2900 = nine primary
         h1 expect silence 50"
     );
     play_in(&with_unbounded_reads(), 2, &text);
@@ -529,20 +465,14 @@
 fn a_fresh_read_is_served_once_a_read_of_any_age_was_answered_as_the_primary() {
     let text = format!(
         "{PRIMARY}
-        c2 send write q2 2900
-        h1 expect id=q2
+        h1 take c2 write q2 2900
         h1 close reset
         c2 expect error
         {}
-        c7-8 send startup
-        c7-8 expect ready
-        c7 send own o7 2900
-        h1 expect id=o7
-        h1 send value seven primary
-        c7 expect value seven
+        c7-8 start
+        h1 serve c7 own o7 2900 = seven primary
         wait 600                            # only the role recommends it again
-        c8 send read r8 2900
-        h1 expect id=r8
+        h1 take c8 read r8 2900
         h1 send value eight primary
         c8 expect value eight",
         rejected_unsent("read")
@@ -564,8 +494,7 @@
     let text = format!(
         "{PRIMARY}
         wait 1600                           # the bound, since its position was told
-        c8-9 send startup
-        c8-9 expect ready
+        c8-9 start
         c8 send write q2 2900               # holds the one connection there is
         h1 expect id=q2
         h1 send hold
@@ -592,26 +521,20 @@
     let text = format!(
         "{PRIMARY_OF_TWO}
         wait 1600                           # the bound, since its position was told
-        c7-9 send startup
-        c7-9 expect ready
-        c7 send own q3 2900
-        h2 expect id=q3
-        h2 send value three replica -200
-        c7 expect value three
+        c7-9 start
+        h2 serve c7 own q3 2900 = three replica -200
         wait 20
         c8 send write q2 2900               # holds the one connection there is
         h1 expect id=q2
         h1 send hold
-        c9 send read q9 2500
-        h2 expect id=q9
+        h2 take c9 read q9 2500
         h1 expect silence 700               # a second attempt would come after 400 ms
         h1 close reset
         c8 expect error
         wait 50
         h1 send release
         h1 expect silence 300
-        h2 send value nine replica -200
-        c9 expect value nine
+        h2 answer c9 nine replica -200
         h1 expect silence 50"
     );
     play_in(&settings, 2, &text);
@@ -632,13 +555,9 @@
     let text = format!(
         "{PRIMARY_OF_TWO}
         wait 600
-        c2 send write q2 2900
-        h1 expect id=q2
-        h1 send value two primary
-        c2 expect value two
+        h1 serve c2 write q2 2900 = two primary
         {others}
-        c3 send read q3 2900
-        h1 expect id=q3
+        h1 take c3 read q3 2900
         h1 send value old primary -5000
         c3 expect {REFUSED}"
     );
@@ -649,19 +568,11 @@
 #[rstest]
 fn a_deposed_primary_that_does_not_know_it_serves_no_old_answer(#[values(1, 2)] hosts: usize) {
     let text = "
-        c1-4 send startup
-        c1-4 expect ready
-        c1 send write q1 2900
-        any expect id=q1
-        any send value one primary
-        c1 expect value one
+        c1-4 start
+        any serve c1 write q1 2900 = one primary
         wait 1200
-        c2 send write q2 2900
-        any expect id=q2
-        any send value two primary
-        c2 expect value two
-        c3 send read q3 2900
-        any expect id=q3
+        any serve c2 write q2 2900 = two primary
+        any take c3 read q3 2900
         any send value old primary -5000
         c3 expect error 53300";
     let settings = match hosts {
@@ -675,15 +586,10 @@
 #[rstest]
 fn a_deposed_primary_serves_no_session_read_older_than_its_write(#[values(1, 2)] hosts: usize) {
     let text = "
-        c1 send startup
-        c1 expect ready
-        c1 send write q1 2900
-        any expect id=q1
-        any send value one primary
-        c1 expect value one
+        c1 start
+        any serve c1 write q1 2900 = one primary
         wait 100
-        c1 send own q3 2900
-        any expect id=q3
+        any take c1 own q3 2900
         any send value old primary -5000
         c1 expect error 53300";
     let settings = match hosts {
@@ -701,26 +607,14 @@
     #[values(1, 2)] hosts: usize,
 ) {
     let text = "
-        c1-3 send startup
-        c1-3 expect ready
-        c1 send write q1 2900
-        any expect id=q1
-        any send value one primary
-        c1 expect value one
-        c2 send read q2 2900
-        any expect id=q2
-        any send value two primary
-        c2 expect value two
+        c1-3 start
+        any serve c1 write q1 2900 = one primary
+        any serve c2 read q2 2900 = two primary
         wait 700
-        c3 send own q3 2900
-        any expect id=q3
-        any send value three primary
-        c3 expect value three
+        any serve c3 own q3 2900 = three primary
         wait 1300
-        c4 send startup
-        c4 expect ready
-        c4 send read q4 2900
-        any expect id=q4
+        c4 start
+        any take c4 read q4 2900
         any send value four primary
         c4 expect value four";
     let faults = match step_ms {
@@ -738,20 +632,13 @@
 ) {
     let text = format!(
         "
-        c1-3 send startup
-        c1-3 expect ready
-        c1 send write q1 2900
-        h1 expect id=q1
-        h1 send value one primary
-        c1 expect value one
+        c1-3 start
+        h1 serve c1 write q1 2900 = one primary
         wait 700                            # the clock steps 500 ms after the first look at it
-        c2 send {asks} q2 2900
-        h1 expect id=q2
-        h1 send value two primary
-        c2 expect value two
+        h1 take c2 {asks} q2 2900
+        h1 answer c2 two primary
         wait 700
-        c3 send {asks} q3 2900
-        h1 expect id=q3
+        h1 take c3 {asks} q3 2900
         h1 send value three primary
         c3 expect value three"
     );
@@ -767,20 +654,12 @@
 ) {
     let text = format!(
         "
-        c1-3 send startup
-        c1-3 expect ready
-        c1 send write q1 2900
-        h1 expect id=q1
-        h1 send value one primary
-        c1 expect value one
+        c1-3 start
+        h1 serve c1 write q1 2900 = one primary
         wait 700
-        c2 send write q2 2900
-        h1 expect id=q2
-        h1 send value two primary
-        c2 expect value two
+        h1 serve c2 write q2 2900 = two primary
         wait 100
-        c3 send {asks} q3 2900
-        h1 expect id=q3
+        h1 take c3 {asks} q3 2900
         h1 send value old primary -5000
         c3 expect {REFUSED}"
     );
--- a/tests/sockets/scenario/mod.rs
+++ b/tests/sockets/scenario/mod.rs
@@ -36,11 +36,16 @@
 //! t1 send prelogin ENCRYPTION | login VERSION | text SQL | read, own, write ID D | call ID D | attention | raw HEX
 //! t1 expect prelogin | ready VERSION | value V | error NUMBER | done | attention | closed | silence MS
 //! c1-9 ...: the same for each of them, its number for `@`
+//! c1 start: `send startup`, `expect ready`
+//! h1 take c1 read q1 2900: `c1 send read q1 2900`, `h1 expect id=q1`
+//! h1 answer c1 V ROLE: `h1 send value V ROLE`, `c1 expect value V`
+//! h1 serve c1 read q1 2900 = V ROLE: both
 //! any expect WORDS: the query comes to whatever host, which `any` stands for from then on
 //! ```
 
 #[path = "../../../crates/testbench/src/soak/run_queue.rs"]
 mod run_queue;
+mod shorthand;
 mod tds;
 
 use nix::sys::signal::{kill, Signal};
@@ -1229,21 +1234,23 @@
         if !line.is_empty() {
             // Captured: shown when the scenario fails, up to the line that did.
             eprintln!("{:3} {line}", n + 1);
-            scenario.line_began = scenario.program.begin();
-            match line.split_once(' ').and_then(|(who, rest)| Some((who.split_once('-')?, rest))) {
-                None => scenario.line(line),
-                Some(((from, to), rest)) => {
-                    let (from, to): (u32, u32) = (from[1..].parse().unwrap(), to.parse().unwrap());
-                    let kind = &line[..1];
-                    (from..=to).for_each(|n| {
-                        scenario.line(&format!("{kind}{n} {}", rest.replace('@', &n.to_string())))
-                    });
-                }
-            }
+            shorthand::expand(line).iter().for_each(|step| play_step(scenario, step));
         }
     }
 }
 
+/// Plays a line; for each of several clients if it names them as `c1-9`.
+fn play_step(scenario: &mut Scenario, step: &str) {
+    scenario.line_began = scenario.program.begin();
+    let range = step.split_once(' ').and_then(|(who, rest)| Some((who.split_once('-')?, rest)));
+    let Some(((from, to), rest)) = range else { return scenario.line(step) };
+    let (from, to): (u32, u32) = (from[1..].parse().unwrap(), to.parse().unwrap());
+    let kind = &step[..1];
+    for n in from..=to {
+        scenario.line(&format!("{kind}{n} {}", rest.replace('@', &n.to_string())));
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/tests/sockets/tds.rs
+++ b/tests/sockets/tds.rs
@@ -37,10 +37,8 @@
 #[case::both_protocols_meet_the_same_hosts(
     1,
     "
-    c1 send startup
-    c1 expect ready
-    c1 send read q1 900
-    h1 expect id=q1
+    c1 start
+    h1 take c1 read q1 900
     h1 send value hello primary
     c1 expect value hello"
 )]
--- a/tests/sockets/watching.rs
+++ b/tests/sockets/watching.rs
@@ -5,8 +5,7 @@
 
 const OPENS: &str = "
     list expect follow
-    c1 send startup
-    c1 expect ready
+    c1 start
 ";
 
 /// `h1` drains: what its clients ask from then on goes to the other host.
@@ -14,8 +13,7 @@
     format!(
         "
     proxy expect figures lists={lists}
-    c1-4 send startup
-    c1-4 expect ready
+    c1-4 start
     c1-4 send read r@ 900
     h2 expect c=any
     h2 expect c=any
@@ -87,17 +85,12 @@
     let text = r#"
         list expect follow
         list send chunk {"index":2,"endpoints":[{"name":"h2","address":"@h2","status":"removed"}]}
-        c1 send startup
-        c1 expect ready
-        c1 send read q1 2900
-        h1 expect id=q1
-        h1 send value one primary
-        c1 expect value one
+        c1 start
+        h1 serve c1 read q1 2900 = one primary
         list send chunk {"index":3,"endpoints":[{"name":"h1","address":"@h1","status":"removed"}]}
         list send chunk {"index":4,"endpoints":[{"name":"h1","address":"@h2","status":"up"}]}
         proxy expect figures lists=4
-        c1 send read q2 2900
-        h2 expect id=q2
+        h2 take c1 read q2 2900
         h1 expect closed"#;
     play(2, text);
 }
@@ -241,8 +234,7 @@
     let text = "
         list expect follow
         h1 send hold
-        c1 send startup
-        c1 expect ready
+        c1 start
         c1 send read q1 2900
         h1 expect knock
         proxy expect figures sent=1
@@ -262,12 +254,8 @@
     let text = format!(
         "
         list expect follow
-        c1-10 send startup
-        c1-10 expect ready
-        c1 send read q1 2900
-        h1 expect id=q1
-        h1 send value one primary
-        c1 expect value one
+        c1-10 start
+        h1 serve c1 read q1 2900 = one primary
         c1-9 send read r@ 2900
         {takes}
         c10 send read q10 2900
@@ -294,13 +282,8 @@
         list send chunk {"index":3,"snapshot":true,"endpoints":[{"name":"h2","address":"@h2","status":"up"}
         list close reset
         list expect follow since=2
-        c1 send startup
-        c1 expect ready
-        c1-4 send startup
-        c1-4 expect ready
         proxy expect figures lists=2
         list send chunk {"index":4,"endpoints":[{"name":"h1","address":"@h1","status":"draining"}]}
         "#;
-    let text = text.replace("        c1 send startup\n        c1 expect ready\n        c1-4 send startup\n        c1-4 expect ready\n", "");
     play(2, &format!("{text}\n{}", drained(3)));
 }
