--- a/crates/testbench/src/fleet.rs
+++ b/crates/testbench/src/fleet.rs
@@ -19,11 +19,11 @@
 
 mod cold;
 mod day;
-mod tally;
+mod metrics;
 
 pub use cold::ColdPeak;
 pub use day::{Burst, Day, Incident};
-pub use tally::{Fates, Tally};
+pub use metrics::{Fates, Tally};
 
 /// One way between a proxy and a host or client.
 const WAY: Micros = 300;
--- a/crates/testbench/src/lib.rs
+++ b/crates/testbench/src/lib.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 mod demo;
+pub mod fault_script;
 pub mod fleet;
 pub mod history;
 pub mod load;
@@ -14,7 +15,6 @@
 mod soak;
 mod starve;
 mod table;
-pub mod trouble;
 
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
--- a/crates/testbench/src/membership.rs
+++ b/crates/testbench/src/membership.rs
@@ -1,10 +1,10 @@
 //! What a fleet of real processes does under each trouble and under load: how fast a death is seen and agreed on, who was put out
 //! wrongly, how long before another one may act a member was fenced, and what it costs.
 
+use crate::fault_script::{Played, Script};
 use crate::history::{judge, put_out, Broken, Event, Judged, What};
 use crate::load::{self, ClassResult, Target};
 use crate::processes::{Ground, Processes};
-use crate::trouble::{Played, Script};
 use crate::{runtime, table, LabError};
 use std::path::PathBuf;
 use std::rc::Rc;
--- a/crates/testbench/tests/troubles.rs
+++ b/crates/testbench/tests/fault_scripts.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 use std::path::PathBuf;
-use wheelpier_testbench::trouble::Script;
+use wheelpier_testbench::fault_script::Script;
 
 #[rstest]
 fn every_script_ends_as_it_says_in_virtual_time(#[files("fleets/*.yaml")] path: PathBuf) {
--- a/crates/testbench/tests/processes.rs
+++ b/crates/testbench/tests/processes.rs
@@ -1,13 +1,13 @@
 //! Several processes of the program, with faults between them: each script of troubles is played on them, and what they say is
-//! held against the rules and against the script. Bounds are on outcomes, generous in time. `troubles.rs` plays the same
+//! held against the rules and against the script. Bounds are on outcomes, generous in time. `fault_scripts.rs` plays the same
 //! scripts in virtual time.
 
 use rstest::rstest;
 use std::path::PathBuf;
 use std::time::Duration;
+use wheelpier_testbench::fault_script::Script;
 use wheelpier_testbench::history::What;
 use wheelpier_testbench::processes::Processes;
-use wheelpier_testbench::trouble::Script;
 
 /// On a busy machine all takes longer.
 const PATIENCE: Duration = Duration::from_secs(40);
