--- a/crates/emulator/src/net/actor.rs
+++ b/crates/emulator/src/net/actor.rs
@@ -130,8 +130,8 @@
         let now = self.clock.now();
         let effects = self.world.advance(now);
         self.carry_out(effects);
-        while let Some(trouble) = self.began.and_then(|began| self.script.due(now - began)) {
-            let effects = self.world.trouble(now, &trouble);
+        while let Some(fault) = self.began.and_then(|began| self.script.due(now - began)) {
+            let effects = self.world.inject(now, &fault);
             self.carry_out(effects);
         }
     }
--- a/crates/emulator/src/net/mod.rs
+++ b/crates/emulator/src/net/mod.rs
@@ -93,7 +93,7 @@
     pub seed: u64,
     /// What its hosts speak, set by set, and from the first on again.
     pub wires: Vec<Wire>,
-    /// Its troubles, from [`Installation::begin`] on.
+    /// Its faults, from [`Installation::begin`] on.
     pub script: Script,
     /// How many proxies share it. Hosts don't know one from another: with several, what one was told counts for none.
     pub proxies: usize,
@@ -131,7 +131,7 @@
 }
 
 impl Installation {
-    /// Starts it; there is no trouble before [`Self::begin`].
+    /// Starts it; there is no fault before [`Self::begin`].
     ///
     /// # Errors
     /// When an address cannot be had.
--- a/crates/emulator/src/script.rs
+++ b/crates/emulator/src/script.rs
@@ -1,34 +1,34 @@
-//! Troubles and when they come.
+//! Faults and when they come.
 
-use crate::world::Trouble;
+use crate::world::HostFault;
 use crate::{Micros, SECOND};
 
-/// A trouble at its time, counted from the start.
+/// A fault at its time, counted from the start.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Step {
     /// When.
     pub at: Micros,
     /// What.
-    pub trouble: Trouble,
+    pub fault: HostFault,
 }
 
-/// Troubles in the order of their times.
+/// Faults in the order of their times.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Script {
     steps: Vec<Step>,
 }
 
 impl Script {
-    /// No trouble at all.
+    /// No fault at all.
     pub fn calm() -> Self {
         Self::default()
     }
 
-    /// With one more trouble, so many seconds after the start.
-    pub fn then(mut self, seconds: f64, trouble: Trouble) -> Self {
+    /// With one more fault, so many seconds after the start.
+    pub fn then(mut self, seconds: f64, fault: HostFault) -> Self {
         let at = (seconds * SECOND as f64) as Micros;
         let place = self.steps.partition_point(|step| step.at <= at);
-        self.steps.insert(place, Step { at, trouble });
+        self.steps.insert(place, Step { at, fault });
         self
     }
 
@@ -39,15 +39,15 @@
         let span = |share: f64| (seconds * share * SECOND as f64) as Micros;
         let other = members;
         Self::calm()
-            .then(part(0.2), Trouble::Death { host: 0, span: span(0.2) })
-            .then(part(0.45), Trouble::Drain { host: other + 1, span: span(0.2) })
-            .then(part(0.7), Trouble::Lag { host: other + 2, times: 12.0, span: span(0.15) })
-            .then(part(0.7), Trouble::Lag { host: 2, times: 12.0, span: span(0.15) })
+            .then(part(0.2), HostFault::Death { host: 0, span: span(0.2) })
+            .then(part(0.45), HostFault::Drain { host: other + 1, span: span(0.2) })
+            .then(part(0.7), HostFault::Lag { host: other + 2, times: 12.0, span: span(0.15) })
+            .then(part(0.7), HostFault::Lag { host: 2, times: 12.0, span: span(0.15) })
     }
 
-    /// The next trouble due by then, counted from the start.
-    pub fn due(&mut self, elapsed: Micros) -> Option<Trouble> {
-        (self.steps.first()?.at <= elapsed).then(|| self.steps.remove(0).trouble)
+    /// The next fault due by then, counted from the start.
+    pub fn due(&mut self, elapsed: Micros) -> Option<HostFault> {
+        (self.steps.first()?.at <= elapsed).then(|| self.steps.remove(0).fault)
     }
 
     /// When the next one comes.
--- a/crates/emulator/src/spec.rs
+++ b/crates/emulator/src/spec.rs
@@ -141,7 +141,7 @@
 }
 
 impl Spec {
-    /// The brief's deployment in small: its classes, aims and troubles.
+    /// The brief's deployment in small: its classes, aims and faults.
     pub fn sapporo() -> Self {
         Self {
             name: "sapporo",
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -84,9 +84,9 @@
     Doubled(String),
 }
 
-/// A trouble that a script brings.
+/// A fault that a script brings.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Trouble {
+pub enum HostFault {
     /// The process dies and comes back cold after that time.
     Death {
         /// Who.
@@ -538,18 +538,18 @@
         effects
     }
 
-    // ---- Troubles --------------------------------------------------------------------------------------
+    // ---- Faults --------------------------------------------------------------------------------------
 
-    /// A trouble begins.
-    pub fn trouble(&mut self, now: Micros, trouble: &Trouble) -> Vec<Effect> {
+    /// A fault begins.
+    pub fn inject(&mut self, now: Micros, fault: &HostFault) -> Vec<Effect> {
         self.now = now;
-        match *trouble {
-            Trouble::Death { host, span } => {
+        match *fault {
+            HostFault::Death { host, span } => {
                 let effects = self.break_down(host, State::Dead);
                 self.at(now + span, Due::Returns(host));
                 effects
             }
-            Trouble::Hang { host, span } => {
+            HostFault::Hang { host, span } => {
                 self.hosts[host].state = State::Hung;
                 // What it holds is answered by nobody.
                 for ticket in self.hosts[host].drop_all() {
@@ -559,7 +559,7 @@
                 self.at(now + span, Due::EndsHang(host));
                 Vec::new()
             }
-            Trouble::Drain { host, span } => {
+            HostFault::Drain { host, span } => {
                 self.hosts[host].state = State::Draining;
                 let switch = self.draw(self.spec.switch);
                 self.headless(host, Some(switch));
@@ -567,19 +567,19 @@
                 self.at(now + span, Due::EndsDrain(host));
                 Vec::new()
             }
-            Trouble::Lag { host, times, span } => {
+            HostFault::Lag { host, times, span } => {
                 let (group, member) = (self.group(host), self.member(host));
                 self.sets[group].log.slow(member, times, self.applies[host], now);
                 self.at(now + span, Due::EndsLag(host));
                 Vec::new()
             }
-            Trouble::Isolation { host, span } => self.isolate(host, span),
-            Trouble::LostAnswers { host, share, delivery, span } => {
+            HostFault::Isolation { host, span } => self.isolate(host, span),
+            HostFault::LostAnswers { host, share, delivery, span } => {
                 self.hosts[host].loses = Some((share, delivery));
                 self.at(now + span, Due::EndsLosses(host));
                 Vec::new()
             }
-            Trouble::FastErrors { host, share, span } => {
+            HostFault::FastErrors { host, share, span } => {
                 self.hosts[host].fails = share;
                 self.at(now + span, Due::EndsErrors(host));
                 Vec::new()
--- a/crates/emulator/tests/world.rs
+++ b/crates/emulator/tests/world.rs
@@ -6,7 +6,7 @@
 use wheelpier_emulator::schedule::plan;
 use wheelpier_emulator::script::Script;
 use wheelpier_emulator::spec::{Spec, WhenBehind};
-use wheelpier_emulator::world::{Effect, Query, Reply, Status, Trouble, World};
+use wheelpier_emulator::world::{Effect, HostFault, Query, Reply, Status, World};
 use wheelpier_emulator::{Micros, MS, SECOND};
 
 const START: Micros = 1_000_000 * SECOND;
@@ -76,7 +76,7 @@
 #[test]
 fn a_dead_primary_is_replaced_and_comes_back_cold_as_a_replica() {
     let mut world = world();
-    let effects = world.trouble(START, &Trouble::Death { host: 0, span: 10 * SECOND });
+    let effects = world.inject(START, &HostFault::Death { host: 0, span: 10 * SECOND });
     assert_eq!(effects, [Effect::Breaks(0)]);
     world.advance(START + 100 * MS);
     // Nobody goes on while there is no primary.
@@ -93,7 +93,7 @@
 #[test]
 fn a_cold_host_that_is_sent_too_much_falls() {
     let mut world = world();
-    world.trouble(START, &Trouble::Death { host: 1, span: SECOND });
+    world.inject(START, &HostFault::Death { host: 1, span: SECOND });
     world.advance(START + SECOND);
     let mut fell = false;
     for n in 0..400 {
@@ -108,7 +108,7 @@
 #[test]
 fn a_lagging_replica_falls_behind_and_catches_up() {
     let mut world = world();
-    world.trouble(START, &Trouble::Lag { host: 2, times: 12.0, span: 5 * SECOND });
+    world.inject(START, &HostFault::Lag { host: 2, times: 12.0, span: 5 * SECOND });
     let lag = |world: &World, at: Micros| START + at - world.position(2, START + at);
     world.advance(START + 5 * SECOND - 1);
     let behind = lag(&world, 5 * SECOND - 1);
@@ -121,7 +121,7 @@
 fn a_read_too_far_ahead_waits_and_is_turned_away_where_hosts_do_so() {
     let spec = Spec { when_behind: WhenBehind::Wait(20 * MS), ..Spec::sapporo() };
     let mut world = World::new(spec, 7, START);
-    world.trouble(START, &Trouble::Lag { host: 1, times: 1e6, span: 100 * SECOND });
+    world.inject(START, &HostFault::Lag { host: 1, times: 1e6, span: 100 * SECOND });
     world.acknowledge("s", START + SECOND);
     world.ask("r", "s");
     assert_eq!(world.arrive(START + SECOND, 1, 1, query("r", "own-sales")), []);
@@ -133,11 +133,11 @@
 fn a_hung_host_answers_nothing_and_a_draining_one_nothing_new() {
     let mut world = world();
     world.arrive(START, 1, 1, query("a", "daily-report"));
-    world.trouble(START, &Trouble::Drain { host: 1, span: SECOND });
+    world.inject(START, &HostFault::Drain { host: 1, span: SECOND });
     let refused = world.arrive(START + 1, 2, 1, query("b", "daily-report"));
     assert_eq!(reply(&refused, 2), Some(&Reply::Full));
     assert!(reply(&world.advance(START + SECOND), 1).is_some());
-    world.trouble(START + SECOND, &Trouble::Hang { host: 2, span: SECOND });
+    world.inject(START + SECOND, &HostFault::Hang { host: 2, span: SECOND });
     world.arrive(START + SECOND, 3, 2, query("c", "daily-report"));
     let later = world.advance(START + 100 * SECOND);
     assert_eq!(reply(&later, 3), None);
@@ -148,14 +148,14 @@
 fn an_isolated_primary_returns_as_a_replica_where_it_stood() {
     let mut world = world();
     for host in 0..5 {
-        world.trouble(START, &Trouble::Lag { host, times: 1e6, span: 100 * SECOND });
+        world.inject(START, &HostFault::Lag { host, times: 1e6, span: 100 * SECOND });
     }
-    let cut = Trouble::Isolation { host: 0, span: 2 * SECOND };
-    assert_eq!(world.trouble(START, &cut), [Effect::Breaks(0)]);
+    let cut = HostFault::Isolation { host: 0, span: 2 * SECOND };
+    assert_eq!(world.inject(START, &cut), [Effect::Breaks(0)]);
     assert_eq!((world.state(0), world.runs(0)), (State::Isolated, false));
     assert_eq!(world.arrive(START, 1, 0, query("a", "price-lookup")), []);
     // Once more while it is cut off, or an end that comes later, changes nothing.
-    assert_eq!(world.trouble(START + MS, &cut), []);
+    assert_eq!(world.inject(START + MS, &cut), []);
     let later = START + 2 * SECOND;
     assert_eq!(world.advance(later), [Effect::Returns(0)]);
     assert!(world.runs(0) && !world.is_primary(0));
@@ -166,11 +166,11 @@
 
 /// Guards against former primaries that no set could have given up yet.
 #[rstest]
-#[case::cut_off(Trouble::Isolation { host: 0, span: SECOND })]
-#[case::hung(Trouble::Hang { host: 0, span: SECOND })]
-fn a_primary_that_is_back_before_anyone_notices_still_is_one(#[case] trouble: Trouble) {
+#[case::cut_off(HostFault::Isolation { host: 0, span: SECOND })]
+#[case::hung(HostFault::Hang { host: 0, span: SECOND })]
+fn a_primary_that_is_back_before_anyone_notices_still_is_one(#[case] fault: HostFault) {
     let mut world = world();
-    world.trouble(START, &trouble);
+    world.inject(START, &fault);
     assert!(!world.is_primary(0));
     world.advance(START + 20 * SECOND);
     assert!(world.is_primary(0));
@@ -181,8 +181,8 @@
 #[test]
 fn answers_are_lost_for_as_long_as_the_trouble_lasts() {
     let mut world = world();
-    let lost = Trouble::LostAnswers { host: 1, share: 0.5, delivery: Delivery::Reset, span: SECOND };
-    world.trouble(START, &lost);
+    let lost = HostFault::LostAnswers { host: 1, share: 0.5, delivery: Delivery::Reset, span: SECOND };
+    world.inject(START, &lost);
     let count =
         |world: &mut World, host| (0..1_000).filter(|_| world.delivery(host) == Delivery::Reset).count();
     assert!((400..600).contains(&count(&mut world, 1)));
@@ -201,8 +201,8 @@
         for (ticket, planned) in plan(&spec, seed, 100.0, 10 * SECOND).into_iter().enumerate() {
             let at = START + planned.at;
             effects.extend(world.advance(at));
-            while let Some(trouble) = script.due(planned.at) {
-                effects.extend(world.trouble(at, &trouble));
+            while let Some(fault) = script.due(planned.at) {
+                effects.extend(world.inject(at, &fault));
             }
             let host = planned.group * spec.members + ticket % spec.members;
             let query = Query {
--- a/crates/testbench/src/demo.rs
+++ b/crates/testbench/src/demo.rs
@@ -3,7 +3,7 @@
 
 use crate::load::{self, Target};
 use crate::rig::Rig;
-use crate::{runtime, span, LabError};
+use crate::{runtime, span, TestbenchError};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{interval_at, sleep, Instant};
@@ -35,11 +35,11 @@
 
 impl Demo {
     /// Runs until its time is over or Ctrl-C.
-    pub fn run(&self) -> Result<(), LabError> {
+    pub fn run(&self) -> Result<(), TestbenchError> {
         runtime()?.block_on(self.show())
     }
 
-    async fn show(&self) -> Result<(), LabError> {
+    async fn show(&self) -> Result<(), TestbenchError> {
         let spec = (*self.spec).clone();
         let wires = vec![Wire::Postgres, Wire::Tds];
         let options =
@@ -63,7 +63,7 @@
         rig.proxy.end().await
     }
 
-    fn greet(&self, rig: &Rig, spec: &Spec) -> Result<(), LabError> {
+    fn greet(&self, rig: &Rig, spec: &Spec) -> Result<(), TestbenchError> {
         for wire in [Wire::Postgres, Wire::Tds] {
             println!("{wire} {}", rig.port(wire)?);
         }
@@ -85,7 +85,7 @@
         wire: Wire,
         seed: u64,
         span: Duration,
-    ) -> Result<(), LabError> {
+    ) -> Result<(), TestbenchError> {
         let plan = plan(spec, seed, self.rate, (span.as_secs_f64() * SECOND as f64) as i64);
         let (world, clock, address) = (rig.installation.mailbox(), rig.clock, rig.port(wire)?);
         let spec = Rc::new(spec.clone());
--- a/crates/testbench/src/fault_script.rs
+++ b/crates/testbench/src/fault_script.rs
@@ -1,10 +1,10 @@
-//! Scripts of troubles (`fleets/*.yaml`): what happens to a fleet and when, and what may come of it. One script is played on
+//! Scripts of faults (`fleets/*.yaml`): what happens to a fleet and when, and what may come of it. One script is played on
 //! two stages, real processes and virtual time, and what both say goes to one checker.
 
 use crate::history::{judge, put_out, Event};
-use crate::members::{Fleet, Trouble};
+use crate::members::{Fleet, FleetFault};
 use crate::processes::Processes;
-use crate::LabError;
+use crate::TestbenchError;
 use serde::Deserialize;
 use std::collections::BTreeSet;
 use std::path::Path;
@@ -110,8 +110,8 @@
     ///
     /// # Errors
     /// When it cannot be read or is no script.
-    pub fn from_file(path: &Path) -> Result<Self, LabError> {
-        let wrong = |problem: String| LabError::Script(format!("{}: {problem}", path.display()));
+    pub fn from_file(path: &Path) -> Result<Self, TestbenchError> {
+        let wrong = |problem: String| TestbenchError::Script(format!("{}: {problem}", path.display()));
         let text = std::fs::read_to_string(path).map_err(|e| wrong(e.to_string()))?;
         let script: Self = serde_saphyr::from_str(&text).map_err(|e| wrong(e.to_string()))?;
         let named = script.steps.iter().flat_map(|step| step.what.processes());
@@ -140,7 +140,7 @@
     }
 
     /// Those with which something is done, and of which suspicions are no wonder.
-    pub fn troubled(&self) -> BTreeSet<usize> {
+    pub fn affected(&self) -> BTreeSet<usize> {
         self.steps.iter().flat_map(|step| step.what.processes()).collect()
     }
 
@@ -174,7 +174,7 @@
         fleet.until(fleet.now + 2 * SECOND);
         let steps = self.steps.iter().flat_map(|step| {
             let at = step.at_ms as i64 * MS;
-            step.what.troubles(self.proxies).into_iter().map(move |trouble| (at, trouble))
+            step.what.faults(self.proxies).into_iter().map(move |fault| (at, fault))
         });
         fleet.play(steps.collect(), self.watched_ms as i64 * MS);
         let (ended, within) = (fleet.now, self.settled_within_ms as i64 * MS);
@@ -189,7 +189,7 @@
     ///
     /// # Errors
     /// When a process cannot be started.
-    pub async fn play(&self, fleet: &mut Processes) -> Result<Played, LabError> {
+    pub async fn play(&self, fleet: &mut Processes) -> Result<Played, TestbenchError> {
         let mut due: Vec<(u64, Did)> = self.steps.iter().flat_map(did).collect();
         due.sort_by_key(|(at, _)| *at);
         let began = Instant::now();
@@ -230,20 +230,20 @@
         }
     }
 
-    fn troubles(&self, proxies: usize) -> Vec<Trouble> {
+    fn faults(&self, proxies: usize) -> Vec<FleetFault> {
         match self {
-            Self::Kill(n) => vec![Trouble::Kill(*n)],
-            Self::Start(n) => vec![Trouble::Start(*n)],
-            Self::Pause(pause) => vec![Trouble::Pause(pause.process, pause.ms as i64 * MS)],
-            Self::Leave(n) => vec![Trouble::Leave(*n)],
-            Self::Cut(a, b) => vec![Trouble::Cut(*a, *b)],
+            Self::Kill(n) => vec![FleetFault::Kill(*n)],
+            Self::Start(n) => vec![FleetFault::Start(*n)],
+            Self::Pause(pause) => vec![FleetFault::Pause(pause.process, pause.ms as i64 * MS)],
+            Self::Leave(n) => vec![FleetFault::Leave(*n)],
+            Self::Cut(a, b) => vec![FleetFault::Cut(*a, *b)],
             Self::Mute(n) => {
-                (0..proxies).filter(|other| other != n).map(|other| Trouble::Cut(*n, other)).collect()
+                (0..proxies).filter(|other| other != n).map(|other| FleetFault::Cut(*n, other)).collect()
             }
-            Self::Split(side) | Self::OtherVersion(side) => vec![Trouble::Split(side.clone())],
-            Self::Links(link) => vec![Trouble::Links(link.clone())],
-            Self::LinksOf(of) => vec![Trouble::LinksOf(of.process, of.link.clone())],
-            Self::Heal(_) => vec![Trouble::Heal],
+            Self::Split(side) | Self::OtherVersion(side) => vec![FleetFault::Split(side.clone())],
+            Self::Links(link) => vec![FleetFault::Links(link.clone())],
+            Self::LinksOf(of) => vec![FleetFault::LinksOf(of.process, of.link.clone())],
+            Self::Heal(_) => vec![FleetFault::Heal],
         }
     }
 }
@@ -263,7 +263,7 @@
 }
 
 impl Did {
-    fn to(self, fleet: &mut Processes) -> Result<(), LabError> {
+    fn to(self, fleet: &mut Processes) -> Result<(), TestbenchError> {
         let cut = Link { cut: true, ..Link::default() };
         match self {
             Self::GoesOn(n) => fleet.go_on(n),
--- a/crates/testbench/src/fleet.rs
+++ b/crates/testbench/src/fleet.rs
@@ -14,7 +14,7 @@
 use wheelpier_emulator::host::State;
 use wheelpier_emulator::schedule::Planned;
 use wheelpier_emulator::spec::Freshness;
-use wheelpier_emulator::world::{Effect, Query, Reply, Status, Trouble, World};
+use wheelpier_emulator::world::{Effect, HostFault, Query, Reply, Status, World};
 use wheelpier_emulator::{Micros, MS, SECOND};
 
 mod cold;
@@ -23,7 +23,7 @@
 
 pub use cold::ColdPeak;
 pub use day::{Burst, Day, Incident};
-pub use metrics::{Fates, Tally};
+pub use metrics::{ClassOutcomes, FleetMetrics};
 
 /// One way between a proxy and a host or client.
 const WAY: Micros = 300;
@@ -87,7 +87,7 @@
     asked: Vec<u32>,
     /// What discovery has said of each host.
     listed: Vec<(Status, Option<Micros>)>,
-    tally: Tally,
+    metrics: FleetMetrics,
     now: Micros,
 }
 
@@ -95,7 +95,7 @@
 ///
 /// # Errors
 /// When the settings cannot be read or no router takes them; the text says why.
-pub fn play(day: Day) -> Result<Tally, String> {
+pub fn play(day: Day) -> Result<FleetMetrics, String> {
     let settings = settings::read(&day.spec.settings(day.rate).to_string());
     let (mut settings, _) = settings.map_err(|error| error.to_string())?;
     settings.router_count = day.routers as u32;
@@ -116,12 +116,12 @@
         cold: vec![cold::ColdLoad::default(); hosts],
         asked: Vec::new(),
         listed,
-        tally: Tally::default(),
+        metrics: FleetMetrics::default(),
         now: START,
         day,
     };
     fleet.run()?;
-    Ok(fleet.tally)
+    Ok(fleet.metrics)
 }
 
 impl Fleet {
@@ -140,7 +140,7 @@
             self.start(n)?;
         }
         for (host, at) in self.day.joins.clone() {
-            let effects = self.world.trouble(START, &Trouble::Death { host, span: at });
+            let effects = self.world.inject(START, &HostFault::Death { host, span: at });
             self.effects(effects);
         }
         self.asked = vec![0; self.plan.len()];
@@ -214,8 +214,8 @@
             Due::Proxy(router, life, own) if self.nodes[router].life == life => self.own(router, own),
             Due::Proxy(..) => {}
             Due::Incident(n) => match self.day.incidents[n].1.clone() {
-                Incident::World(trouble) => {
-                    let effects = self.world.trouble(self.now, &trouble);
+                Incident::World(fault) => {
+                    let effects = self.world.inject(self.now, &fault);
                     self.effects(effects);
                 }
                 Incident::Restart(router, span) => {
@@ -239,7 +239,7 @@
         let Some(at) = alive.into_iter().find(|k| self.nodes[*k].router.is_some()) else { return };
         let class = &self.day.spec.classes[planned.class];
         let wait = class.deadline;
-        self.tally.classes.entry(planned.class).or_default().asked += 1;
+        self.metrics.classes.entry(planned.class).or_default().asked += 1;
         self.world.ask(&planned.id, &self.seen_by(at, &planned.session));
         self.nodes[at].checker.asked(&planned.id, self.now + wait);
         self.nodes[at].open.insert(n as u64, self.now + wait);
@@ -270,11 +270,11 @@
         let aim = self.day.spec.classes[planned.class].aim;
         let in_time = served && self.now - START - planned.at <= aim;
         let untried = !served && !self.nodes[router].attempts.contains_key(&id);
-        let fates = self.tally.classes.entry(planned.class).or_default();
-        fates.in_time += u64::from(in_time);
-        fates.served += u64::from(served);
-        fates.turned_away += u64::from(!served);
-        fates.untried += u64::from(untried);
+        let outcomes = self.metrics.classes.entry(planned.class).or_default();
+        outcomes.in_time += u64::from(in_time);
+        outcomes.served += u64::from(served);
+        outcomes.rejected += u64::from(!served);
+        outcomes.untried += u64::from(untried);
         if !served && self.asked[id as usize] < self.day.again {
             self.comes_again(id as usize);
         }
@@ -351,7 +351,7 @@
             }
             Action::SetTimer { at, token } => self.later(router, at.0, Own::Rings(token)),
             Action::HealthCheck { host } => {
-                self.tally.probes += 1;
+                self.metrics.probes += 1;
                 let (host, sent) = (host.0 as usize, self.now);
                 let way = self.way(router, host);
                 self.later(router, self.now + way, Own::Reported { host, sent });
@@ -372,7 +372,7 @@
         if idle.pop().is_some() {
             return way;
         }
-        self.tally.connects += 1;
+        self.metrics.connects += 1;
         way + HANDSHAKE
     }
 
@@ -383,11 +383,11 @@
         let number = *attempt;
         *attempt += 1;
         node.checker.sent(self.now, host, &self.plan[id as usize].id);
-        self.tally.copies += u64::from(node.out.keys().any(|(of, _)| *of == id));
+        self.metrics.copies += u64::from(node.out.keys().any(|(of, _)| *of == id));
         node.out.insert((id, number), Out { host, sent: self.now, ticket: None });
         let until = node.open.get(&id).copied().unwrap_or(self.now);
         let until = timeout.map_or(until, |t| until.min(self.now + t.0));
-        *self.tally.sends.entry((host, (self.now - START) / SECOND)).or_default() += 1;
+        *self.metrics.sends.entry((host, (self.now - START) / SECOND)).or_default() += 1;
         let sent = self.now;
         self.later(router, self.now + way, Own::Arrives { id, attempt: number, host, sent });
         // As on sockets: the proxy gives up a little before its client.
@@ -431,7 +431,7 @@
         let mut random = ChaCha8Rng::seed_from_u64(self.day.seed.rotate_left(32) ^ id);
         let work = -(1.0 - random.random::<f64>()).ln();
         if self.cold[host].add(&self.day.spec, started, self.now, work, informed) {
-            self.tally.cold.insert(host, self.cold[host].peak);
+            self.metrics.cold.insert(host, self.cold[host].peak);
         }
     }
 
@@ -464,7 +464,7 @@
         if matches!(outcome, Outcome::Ok | Outcome::Misdirected | Outcome::Overloaded | Outcome::Error) {
             self.nodes[router].idle.entry(out.host).or_default().push(self.now);
         }
-        self.tally.misses += u64::from(outcome == Outcome::Misdirected);
+        self.metrics.misses += u64::from(outcome == Outcome::Misdirected);
         let waited = self.nodes[router].open.contains_key(&id);
         let reply = Answer {
             id: RequestId(id),
@@ -501,10 +501,10 @@
                 Effect::Returns(_) => {}
                 Effect::Roster(host, status, started) => self.roster(host, status, started),
                 Effect::Fell(host) if self.cold[host].mostly_informed() => {
-                    self.tally.fell += 1;
+                    self.metrics.fell += 1;
                     self.nodes[0].checker.fell(host);
                 }
-                Effect::Fell(_) => self.tally.fell_unannounced += 1,
+                Effect::Fell(_) => self.metrics.fell_unannounced += 1,
                 Effect::Doubled(key) => self.nodes[0].checker.doubled(&key),
             }
         }
@@ -570,10 +570,10 @@
             node.checker.end();
             for rule in RULES {
                 let (tried, broken) = node.checker.verdict(rule);
-                let sum = self.tally.rules.entry(rule).or_default();
+                let sum = self.metrics.rules.entry(rule).or_default();
                 *sum = (sum.0 + tried, sum.1 + broken);
             }
-            self.tally.breaches.extend(node.checker.breaches().iter().take(2).map(|b| b.what.clone()));
+            self.metrics.breaches.extend(node.checker.breaches().iter().take(2).map(|b| b.what.clone()));
         }
     }
 }
--- a/crates/testbench/src/fleet/day.rs
+++ b/crates/testbench/src/fleet/day.rs
@@ -3,14 +3,14 @@
 use wheelpier_decisions::Settings;
 use wheelpier_emulator::schedule::{plan, Planned};
 use wheelpier_emulator::spec::Spec;
-use wheelpier_emulator::world::Trouble;
+use wheelpier_emulator::world::HostFault;
 use wheelpier_emulator::Micros;
 
 /// What happens to the fleet itself, or to its hosts.
 #[derive(Clone, Debug)]
 pub enum Incident {
-    /// A trouble of the world's.
-    World(Trouble),
+    /// A fault of the world's.
+    World(HostFault),
     /// That proxy is killed, and starts again from nothing after the span.
     Restart(usize, Micros),
 }
--- a/crates/testbench/src/fleet/metrics.rs
+++ b/crates/testbench/src/fleet/metrics.rs
@@ -7,7 +7,7 @@
 
 /// What became of a class's requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Fates {
+pub struct ClassOutcomes {
     /// Asked of a proxy that ran.
     pub asked: u64,
     /// Served within the aim.
@@ -15,16 +15,16 @@
     /// Served at all.
     pub served: u64,
     /// Refused or failed.
-    pub turned_away: u64,
+    pub rejected: u64,
     /// Refused or failed without an attempt.
     pub untried: u64,
 }
 
 /// What the fleet did, summed over its proxies.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Tally {
+pub struct FleetMetrics {
     /// Requests by class.
-    pub classes: BTreeMap<usize, Fates>,
+    pub classes: BTreeMap<usize, ClassOutcomes>,
     /// Attempts by host and second, from the start.
     pub sends: BTreeMap<(usize, Micros), u64>,
     /// Probes.
@@ -47,7 +47,7 @@
     pub breaches: Vec<String>,
 }
 
-impl Tally {
+impl FleetMetrics {
     /// Attempts in all.
     pub fn sent(&self) -> u64 {
         self.sends.values().sum()
@@ -60,12 +60,12 @@
 
     /// Requests of all classes.
     pub fn asked(&self) -> u64 {
-        self.classes.values().map(|fates| fates.asked).sum()
+        self.classes.values().map(|outcomes| outcomes.asked).sum()
     }
 
     /// Of what was asked, served within its aim.
     pub fn part_in_time(&self) -> f64 {
-        let in_time: u64 = self.classes.values().map(|fates| fates.in_time).sum();
+        let in_time: u64 = self.classes.values().map(|outcomes| outcomes.in_time).sum();
         in_time as f64 / self.asked().max(1) as f64
     }
 }
--- a/crates/testbench/src/lib.rs
+++ b/crates/testbench/src/lib.rs
@@ -32,13 +32,13 @@
 enum Command {
     /// Starts ledger sets, discovery and a proxy with a port for each protocol, under a trickle of load.
     Demo(demo::Demo),
-    /// The same arrivals and troubles over PostgreSQL and over TDS. Exit status 0 if they fare alike.
+    /// The same arrivals and faults over PostgreSQL and over TDS. Exit status 0 if they fare alike.
     Parity(parity::Parity),
     /// A crowd of slow clients beside the usual load. Exit status 0 if the sale-writes do not notice.
     Starve(starve::Starve),
     /// A fleet's membership in virtual time: traffic and times by the number of members. Exit status 0 within the goals.
     Scale(scale::Scale),
-    /// A fleet of real processes under load and under each script of troubles. Exit status 0 within the goals.
+    /// A fleet of real processes under load and under each fault script. Exit status 0 within the goals.
     Membership(membership::Membership),
     /// Drawn deployments on real processes under drawn faults, orders and signals. Exit status 0 if no rule is broken.
     Soak(soak::SoakArguments),
@@ -52,7 +52,7 @@
 
 /// Why an experiment could not be made.
 #[derive(Debug, thiserror::Error)]
-pub enum LabError {
+pub enum TestbenchError {
     /// A socket or a file could not be had.
     #[error("{0}")]
     Io(#[from] std::io::Error),
@@ -62,7 +62,7 @@
     /// Nor its operator's file.
     #[error("{0}")]
     Operator(#[from] wheelpier::config::OperatorError),
-    /// A script of troubles is none.
+    /// A fault script is none.
     #[error("{0}")]
     Script(String),
     /// A thread has ended before its time.
--- a/crates/testbench/src/members.rs
+++ b/crates/testbench/src/members.rs
@@ -24,7 +24,7 @@
 
 /// What happens to the fleet.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Trouble {
+pub enum FleetFault {
     /// A process ends at once.
     Kill(usize),
     /// It begins, if it does not run.
@@ -67,7 +67,7 @@
     /// To a process, for one life of it or, where that is 0, for any; from whom.
     Deliver(usize, u64, Identity, MemberMessage),
     Timer(usize, u64),
-    Trouble(Trouble),
+    FleetFault(FleetFault),
 }
 
 /// The fleet.
@@ -401,7 +401,7 @@
                     }
                 }
             }
-            Due::Trouble(trouble) => self.trouble(trouble),
+            Due::FleetFault(fault) => self.inject(fault),
         }
         // Each member is held against each: large fleets are looked at more seldom.
         let every = (self.names.len() * self.names.len() / 8).max(64) as u64;
@@ -410,56 +410,56 @@
         }
     }
 
-    fn trouble(&mut self, trouble: Trouble) {
-        match trouble {
-            Trouble::Kill(n) => {
+    fn inject(&mut self, fault: FleetFault) {
+        match fault {
+            FleetFault::Kill(n) => {
                 self.nodes[n] = None;
                 self.did(n, "killed");
             }
-            Trouble::Start(n) => self.start(n),
-            Trouble::Pause(n, span) => {
+            FleetFault::Start(n) => self.start(n),
+            FleetFault::Pause(n, span) => {
                 let until = self.now + span;
                 if let Some(node) = self.nodes[n].as_mut() {
                     node.paused_until = until;
                 }
             }
-            Trouble::Cut(a, b) => _ = self.cut.insert((a, b)),
-            Trouble::Split(side) => {
+            FleetFault::Cut(a, b) => _ = self.cut.insert((a, b)),
+            FleetFault::Split(side) => {
                 for a in 0..self.names.len() {
                     for b in (0..self.names.len()).filter(|b| side.contains(&a) != side.contains(b)) {
                         self.cut.insert((a, b));
                     }
                 }
             }
-            Trouble::Heal => {
+            FleetFault::Heal => {
                 self.cut.clear();
                 self.loss_at.clear();
                 self.links.clear();
                 (self.loss, self.delay) = (0.0, (200, 2 * MS));
             }
-            Trouble::Loss(part) => self.loss = part,
-            Trouble::LossAt(n, part) => _ = self.loss_at.insert(n, part),
-            Trouble::Delay(least, most) => self.delay = (least, most),
-            Trouble::Links(link) => {
+            FleetFault::Loss(part) => self.loss = part,
+            FleetFault::LossAt(n, part) => _ = self.loss_at.insert(n, part),
+            FleetFault::Delay(least, most) => self.delay = (least, most),
+            FleetFault::Links(link) => {
                 let all = self.names.len();
                 let pairs = (0..all).flat_map(|a| (0..all).map(move |b| (a, b))).filter(|(a, b)| a != b);
                 self.links = pairs.map(|pair| (pair, link.clone())).collect();
             }
-            Trouble::Lies(n) => _ = self.liars.insert(n),
-            Trouble::LinksOf(n, link) => {
+            FleetFault::Lies(n) => _ = self.liars.insert(n),
+            FleetFault::LinksOf(n, link) => {
                 for other in (0..self.names.len()).filter(|other| *other != n) {
                     self.links.insert((n, other), link.clone());
                     self.links.insert((other, n), link.clone());
                 }
             }
-            Trouble::Leave(n) => self.act(n, |member, now, out| member.leave(now, out)),
+            FleetFault::Leave(n) => self.act(n, |member, now, out| member.leave(now, out)),
         }
     }
 
-    /// Plays troubles at their times from now on, and on until the end, counted from now.
-    pub fn play(&mut self, script: Vec<(i64, Trouble)>, end: i64) {
+    /// Plays faults at their times from now on, and on until the end, counted from now.
+    pub fn play(&mut self, script: Vec<(i64, FleetFault)>, end: i64) {
         let begin = self.now;
-        script.into_iter().for_each(|(at, trouble)| self.at(begin + at, Due::Trouble(trouble)));
+        script.into_iter().for_each(|(at, fault)| self.at(begin + at, Due::FleetFault(fault)));
         self.until(begin + end);
     }
 
--- a/crates/testbench/src/membership.rs
+++ b/crates/testbench/src/membership.rs
@@ -1,11 +1,11 @@
-//! What a fleet of real processes does under each trouble and under load: how fast a death is seen and agreed on, who was put out
+//! What a fleet of real processes does under each fault and under load: how fast a death is seen and agreed on, who was put out
 //! wrongly, how long before another one may act a member was fenced, and what it costs.
 
 use crate::fault_script::{Played, Script};
 use crate::history::{judge, put_out, Broken, Event, Judged, What};
 use crate::load::{self, ClassResult, Target};
 use crate::processes::{Ground, Processes};
-use crate::{runtime, table, LabError};
+use crate::{runtime, table, TestbenchError};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,7 +32,7 @@
     /// Requests a second in all.
     #[arg(long, default_value_t = 200.0)]
     rate: f64,
-    /// Scripts of troubles, each played on a fleet of its own.
+    /// Scripts of faults, each played on a fleet of its own.
     #[arg(long, default_value = "crates/testbench/fleets")]
     scripts: PathBuf,
     /// Where the history of the fleet under load goes, a line an event.
@@ -47,7 +47,7 @@
 /// Scripts that are played at once.
 const AT_ONCE: usize = 4;
 
-/// What came of one trouble.
+/// What came of one fault.
 struct Line {
     name: String,
     /// From each kill to the first that thought the victim gone, and to the first view without it; in milliseconds.
@@ -71,13 +71,13 @@
     ///
     /// # Errors
     /// When a process or a file cannot be had.
-    pub fn run(&self) -> Result<bool, LabError> {
+    pub fn run(&self) -> Result<bool, TestbenchError> {
         let runtime = runtime()?;
         let local = LocalSet::new();
         local.block_on(&runtime, self.play())
     }
 
-    async fn play(&self) -> Result<bool, LabError> {
+    async fn play(&self) -> Result<bool, TestbenchError> {
         println!("membership: {} processes, seed {}, {} s of kills", self.proxies, self.seed, self.seconds);
         let (kills, cost, classes) = self.kills().await?;
         for class in &classes {
@@ -99,7 +99,7 @@
     }
 
     /// One fleet under load, at first in peace, and then its members die one after the other.
-    async fn kills(&self) -> Result<(Line, Cost, Vec<ClassResult>), LabError> {
+    async fn kills(&self) -> Result<(Line, Cost, Vec<ClassResult>), TestbenchError> {
         let (spec, clock) = (Spec::sapporo(), Clock::start());
         let options = Options {
             spec: spec.clone(),
@@ -141,12 +141,16 @@
         let line = self.one_after_the_other(&mut fleet, &all).await?;
         let mut classes: Vec<ClassResult> = Vec::new();
         for load in loads {
-            add(&mut classes, load.await.map_err(|_| LabError::Ended)?);
+            add(&mut classes, load.await.map_err(|_| TestbenchError::Ended)?);
         }
         Ok((line, cost, classes))
     }
 
-    async fn one_after_the_other(&self, fleet: &mut Processes, all: &[usize]) -> Result<Line, LabError> {
+    async fn one_after_the_other(
+        &self,
+        fleet: &mut Processes,
+        all: &[usize],
+    ) -> Result<Line, TestbenchError> {
         let (began, mut killed) = (Instant::now(), Vec::new());
         let mut victim = self.seed as usize % self.proxies;
         while began.elapsed() < Duration::from_secs(self.seconds) {
@@ -192,7 +196,7 @@
     }
 
     /// Each script on a fleet of its own, some at once.
-    async fn scripts(&self) -> Result<Vec<Line>, LabError> {
+    async fn scripts(&self) -> Result<Vec<Line>, TestbenchError> {
         let mut paths: Vec<PathBuf> =
             std::fs::read_dir(&self.scripts)?.filter_map(|entry| Some(entry.ok()?.path())).collect();
         paths.retain(|path| path.extension().is_some_and(|kind| kind == "yaml"));
@@ -202,7 +206,7 @@
             let played: Vec<_> =
                 some.iter().map(|path| tokio::task::spawn_local(script(path.clone(), self.seed))).collect();
             for one in played {
-                lines.push(one.await.map_err(|_| LabError::Ended)??);
+                lines.push(one.await.map_err(|_| TestbenchError::Ended)??);
             }
             eprintln!("membership: {} of {} scripts played", lines.len(), paths.len());
         }
@@ -210,7 +214,7 @@
     }
 }
 
-async fn script(path: PathBuf, seed: u64) -> Result<Line, LabError> {
+async fn script(path: PathBuf, seed: u64) -> Result<Line, TestbenchError> {
     let script = Script::from_file(&path)?;
     let members = (script.proxies, script.founders());
     let mut fleet = Processes::start_on(Processes::own_program()?, members, seed, None).await?;
@@ -226,12 +230,12 @@
 }
 
 fn line(name: String, script: &Script, played: &Played, faults: Vec<String>) -> Line {
-    let troubled = |who: &str| script.troubled().iter().any(|n| who.starts_with(&format!("p{n}#")));
+    let affected = |who: &str| script.affected().iter().any(|n| who.starts_with(&format!("p{n}#")));
     Line {
         name,
         detected_ms: Vec::new(),
         agreed_ms: played.settled_ms.into_iter().collect(),
-        suspected: suspected(&played.history, troubled),
+        suspected: suspected(&played.history, affected),
         evicted: script.wrongly_out(&played.history).len(),
         judged: judge(&played.history),
         faults,
@@ -245,7 +249,7 @@
 }
 
 /// What a member sends and how much of a core it takes while nothing happens to the fleet.
-async fn peace(fleet: &Processes, members: usize, span: Duration) -> Result<Cost, LabError> {
+async fn peace(fleet: &Processes, members: usize, span: Duration) -> Result<Cost, TestbenchError> {
     let before = fleet.spent().await?;
     let began = Instant::now();
     sleep(span).await;
--- a/crates/testbench/src/parity.rs
+++ b/crates/testbench/src/parity.rs
@@ -1,8 +1,8 @@
-//! The same arrivals and troubles over PostgreSQL and over TDS, side by side: they have to fare alike.
+//! The same arrivals and faults over PostgreSQL and over TDS, side by side: they have to fare alike.
 
 use crate::load::{self, ClassResult, Target};
 use crate::rig::Rig;
-use crate::{runtime, table, LabError};
+use crate::{runtime, table, TestbenchError};
 use std::rc::Rc;
 use std::thread;
 use wheelpier_emulator::net::{Options, Verdict, Wire};
@@ -17,7 +17,7 @@
 /// What is compared and how long.
 #[derive(Debug, clap::Args)]
 pub struct Parity {
-    /// Arrivals, troubles and the world are drawn from it.
+    /// Arrivals, faults and the world are drawn from it.
     #[arg(long, default_value_t = 7)]
     seed: u64,
     /// Seconds of load.
@@ -32,7 +32,7 @@
     /// PostgreSQL on both sides: how much two runs of the same differ.
     #[arg(long)]
     control: bool,
-    /// No troubles.
+    /// No faults.
     #[arg(long)]
     calm: bool,
 }
@@ -45,7 +45,7 @@
 
 impl Parity {
     /// Whether they fare alike and no rule is broken.
-    pub fn run(&self) -> Result<bool, LabError> {
+    pub fn run(&self) -> Result<bool, TestbenchError> {
         let one = |wire| {
             let options = self.options(wire);
             let (seed, rate, seconds) = (self.seed, self.rate, self.seconds);
@@ -56,7 +56,7 @@
         let running = [Wire::Postgres, other].map(one);
         let mut outcomes = Vec::with_capacity(running.len());
         for thread in running {
-            outcomes.push(thread.join().map_err(|_| LabError::Ended)??);
+            outcomes.push(thread.join().map_err(|_| TestbenchError::Ended)??);
         }
         Ok(report(&outcomes))
     }
@@ -71,7 +71,13 @@
     }
 }
 
-async fn play(options: Options, wire: Wire, seed: u64, rate: f64, seconds: f64) -> Result<Outcome, LabError> {
+async fn play(
+    options: Options,
+    wire: Wire,
+    seed: u64,
+    rate: f64,
+    seconds: f64,
+) -> Result<Outcome, TestbenchError> {
     let spec = Rc::new(options.spec.clone());
     let rig = Rig::start(options, rate).await?;
     let plan = plan(&spec, seed, rate, (seconds * SECOND as f64) as i64);
--- a/crates/testbench/src/processes.rs
+++ b/crates/testbench/src/processes.rs
@@ -4,7 +4,7 @@
 //! All processes are this rig's children and end with it, also when a test panics.
 
 use crate::history::{Event, What};
-use crate::LabError;
+use crate::TestbenchError;
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
@@ -70,7 +70,7 @@
     ///
     /// # Errors
     /// When ports, files or processes cannot be had.
-    pub async fn start(program: PathBuf, members: usize, seed: u64) -> Result<Self, LabError> {
+    pub async fn start(program: PathBuf, members: usize, seed: u64) -> Result<Self, TestbenchError> {
         Self::start_on(program, (members, members), seed, None).await
     }
 
@@ -78,7 +78,7 @@
     ///
     /// # Errors
     /// When the system does not tell.
-    pub fn own_program() -> Result<PathBuf, LabError> {
+    pub fn own_program() -> Result<PathBuf, TestbenchError> {
         Ok(std::env::current_exe()?)
     }
 
@@ -91,7 +91,7 @@
         (members, founders): (usize, usize),
         seed: u64,
         ground: Option<Ground>,
-    ) -> Result<Self, LabError> {
+    ) -> Result<Self, TestbenchError> {
         let number = FLEETS.fetch_add(1, Relaxed);
         let directory = std::env::temp_dir().join(format!("wheelpier-fleet-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&directory)?;
@@ -123,7 +123,7 @@
         Ok(fleet)
     }
 
-    fn write_files(&self, n: usize, founders: usize, seed: u64) -> Result<(), LabError> {
+    fn write_files(&self, n: usize, founders: usize, seed: u64) -> Result<(), TestbenchError> {
         let node = &self.nodes[n];
         // Others than founders stand in the file as well: what one of them says of another's place is the relay's for itself.
         let named = |others: std::ops::Range<usize>| -> BTreeMap<&str, String> {
@@ -175,7 +175,7 @@
     ///
     /// # Errors
     /// When there can be no process.
-    pub fn begin(&mut self, n: usize) -> Result<(), LabError> {
+    pub fn begin(&mut self, n: usize) -> Result<(), TestbenchError> {
         if self.nodes[n].child.is_some() {
             return Ok(());
         }
@@ -313,13 +313,13 @@
     ///
     /// # Errors
     /// When a console does not answer.
-    pub async fn spent(&self) -> Result<(u64, f64), LabError> {
+    pub async fn spent(&self) -> Result<(u64, f64), TestbenchError> {
         let (mut bytes, mut seconds) = (0, 0.0);
         for (n, node) in self.nodes.iter().enumerate() {
             let Some(child) = &node.child else { continue };
             let figures = self.figures(n).await?;
             let sent = figures.lines().find_map(|line| line.strip_prefix("gw.fleet.sent_bytes="));
-            bytes += sent.and_then(|sent| sent.parse::<u64>().ok()).ok_or(LabError::Ended)?;
+            bytes += sent.and_then(|sent| sent.parse::<u64>().ok()).ok_or(TestbenchError::Ended)?;
             seconds += on_a_core(child.id())?;
         }
         Ok((bytes, seconds))
@@ -334,7 +334,7 @@
     ///
     /// # Errors
     /// When the console does not answer.
-    pub async fn figures(&self, n: usize) -> Result<String, LabError> {
+    pub async fn figures(&self, n: usize) -> Result<String, TestbenchError> {
         Ok(get(self.nodes[n].console, "/admin/stats").await?)
     }
 
@@ -342,12 +342,12 @@
     ///
     /// # Errors
     /// When it does not run.
-    pub fn memory(&self, n: usize) -> Result<u64, LabError> {
-        let child = self.nodes[n].child.as_ref().ok_or(LabError::Ended)?;
+    pub fn memory(&self, n: usize) -> Result<u64, TestbenchError> {
+        let child = self.nodes[n].child.as_ref().ok_or(TestbenchError::Ended)?;
         let text = std::fs::read_to_string(format!("/proc/{}/status", child.id()))?;
         let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
         let size = line.and_then(|line| line.split_whitespace().next());
-        size.and_then(|size| size.parse().ok()).ok_or(LabError::Ended)
+        size.and_then(|size| size.parse().ok()).ok_or(TestbenchError::Ended)
     }
 
     /// The present, on the history's clock.
@@ -418,11 +418,12 @@
 }
 
 /// How long a process has run, by the system's count of hundredths of a second (proc(5)).
-fn on_a_core(pid: u32) -> Result<f64, LabError> {
+fn on_a_core(pid: u32) -> Result<f64, TestbenchError> {
     let text = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
     // The name, in brackets, may hold anything.
     let fields: Vec<&str> = text.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
-    let ticks = |at: usize| fields.get(at).and_then(|ticks| ticks.parse::<u64>().ok()).ok_or(LabError::Ended);
+    let ticks =
+        |at: usize| fields.get(at).and_then(|ticks| ticks.parse::<u64>().ok()).ok_or(TestbenchError::Ended);
     Ok((ticks(11)? + ticks(12)?) as f64 / 100.0)
 }
 
--- a/crates/testbench/src/rig.rs
+++ b/crates/testbench/src/rig.rs
@@ -1,7 +1,7 @@
 //! An installation with a proxy before it: the proxy on a thread of its own, as in service, everything else on
 //! another.
 
-use crate::{runtime, LabError};
+use crate::{runtime, TestbenchError};
 use serde_json::json;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -52,7 +52,7 @@
 
 impl Rig {
     /// Starts both; the proxy listens for both protocols. `rate` is what it has to expect, a second.
-    pub async fn start(options: Options, rate: f64) -> Result<Self, LabError> {
+    pub async fn start(options: Options, rate: f64) -> Result<Self, TestbenchError> {
         let (spec, seed) = (options.spec.clone(), options.seed);
         let clock = Clock::start();
         let installation = Installation::start(options, clock).await?;
@@ -68,18 +68,18 @@
     }
 
     /// Where clients of a protocol connect.
-    pub fn port(&self, wire: Wire) -> Result<SocketAddr, LabError> {
+    pub fn port(&self, wire: Wire) -> Result<SocketAddr, TestbenchError> {
         let protocol = match wire {
             Wire::Postgres => Protocol::Postgres,
             Wire::Tds => Protocol::Tds,
         };
         let found = self.proxy.addresses.iter().find(|(other, _)| *other == protocol);
-        found.map(|(_, address)| *address).ok_or(LabError::Ended)
+        found.map(|(_, address)| *address).ok_or(TestbenchError::Ended)
     }
 }
 
 impl ProxyThread {
-    async fn start(config: Config) -> Result<Self, LabError> {
+    async fn start(config: Config) -> Result<Self, TestbenchError> {
         let (control, asked) = mpsc::channel(4);
         let (bound, started) = oneshot::channel();
         let thread = std::thread::spawn(move || {
@@ -89,17 +89,17 @@
                 proxy.serve(asked).await
             })
         });
-        let (addresses, counters, budget) = started.await.map_err(|_| LabError::Ended)?;
+        let (addresses, counters, budget) = started.await.map_err(|_| TestbenchError::Ended)?;
         Ok(Self { addresses, counters, budget, control, thread })
     }
 
     /// Lets it drain and end.
-    pub async fn end(self) -> Result<(), LabError> {
+    pub async fn end(self) -> Result<(), TestbenchError> {
         let _ = self.control.send(Control::Drain).await;
         let ended = tokio::task::spawn_blocking(move || self.thread.join()).await;
         match ended {
             Ok(Ok(ended)) => Ok(ended?),
-            _ => Err(LabError::Ended),
+            _ => Err(TestbenchError::Ended),
         }
     }
 }
--- a/crates/testbench/src/scale.rs
+++ b/crates/testbench/src/scale.rs
@@ -1,7 +1,7 @@
 //! What a fleet's membership costs and how fast it is, by the number of members, in virtual time.
 
-use crate::members::{Fleet, Trouble};
-use crate::{table, LabError};
+use crate::members::{Fleet, FleetFault};
+use crate::{table, TestbenchError};
 use plotters::prelude::*;
 use std::path::PathBuf;
 use wheelpier_emulator::SECOND;
@@ -56,7 +56,7 @@
     ///
     /// # Errors
     /// When the chart cannot be written.
-    pub fn run(&self) -> Result<bool, LabError> {
+    pub fn run(&self) -> Result<bool, TestbenchError> {
         let mut lines = Vec::new();
         for members in &self.members {
             lines.push(self.measure(*members));
@@ -91,7 +91,8 @@
         ];
         println!("{}", table::lay_out(&head, &rows));
         if let Some(path) = &self.chart {
-            draw(path, &lines).map_err(|problem| LabError::Io(std::io::Error::other(problem.to_string())))?;
+            draw(path, &lines)
+                .map_err(|problem| TestbenchError::Io(std::io::Error::other(problem.to_string())))?;
         }
         let wrongly: usize = lines.iter().map(|line| line.wrongly_out).sum();
         let cheap = lines
@@ -111,9 +112,9 @@
         fleet.play(Vec::new(), 5 * SECOND);
         let calm = self.stretch(&mut fleet, members, Vec::new());
         let epoch = fleet.epoch();
-        let storm = self.stretch(&mut fleet, members, vec![(0, Trouble::Loss(0.2))]);
+        let storm = self.stretch(&mut fleet, members, vec![(0, FleetFault::Loss(0.2))]);
         let wrongly_out = fleet.epoch() - epoch;
-        fleet.play(vec![(0, Trouble::Heal)], SECOND);
+        fleet.play(vec![(0, FleetFault::Heal)], SECOND);
         fleet.settles_within(60 * SECOND);
         let (mut outs, mut spreads) = (Vec::new(), Vec::new());
         let mut more = 0;
@@ -121,7 +122,7 @@
             let (begin, epoch) = (fleet.now, fleet.epoch());
             // Voters and others in turn.
             let victim = if n % 2 == 0 { members - 1 - n } else { n };
-            fleet.play(vec![(0, Trouble::Kill(victim))], 6 * SECOND);
+            fleet.play(vec![(0, FleetFault::Kill(victim))], 6 * SECOND);
             let name = fleet.names[victim].clone();
             let out = fleet.views.range(epoch + 1..).find(|(_, view)| view.member_named(&name).is_none());
             let Some((at, first)) = out.map(|(at, _)| (*at, fleet.adopted[at])) else { continue };
@@ -143,9 +144,9 @@
         }
     }
 
-    fn stretch(&self, fleet: &mut Fleet, members: usize, troubles: Vec<(i64, Trouble)>) -> Traffic {
+    fn stretch(&self, fleet: &mut Fleet, members: usize, faults: Vec<(i64, FleetFault)>) -> Traffic {
         let (bytes, messages) = (fleet.bytes, fleet.messages);
-        fleet.play(troubles, self.seconds * SECOND);
+        fleet.play(faults, self.seconds * SECOND);
         let each = |sum: u64| sum as f64 / members as f64 / self.seconds as f64;
         Traffic { bytes: each(fleet.bytes - bytes), messages: each(fleet.messages - messages) }
     }
--- a/crates/testbench/src/soak/mod.rs
+++ b/crates/testbench/src/soak/mod.rs
@@ -7,7 +7,7 @@
 mod process;
 mod run_queue;
 
-use crate::{runtime, LabError};
+use crate::{runtime, TestbenchError};
 use clap::Args;
 use ledger::{Boot, End, Findings, Ledger};
 use plan::{Fault, Order, Plan, Scenario, FAULTS, PAUSE};
@@ -98,7 +98,7 @@
     }
 
     /// Plays all seeds. Whether no rule was broken.
-    pub fn run(&self) -> Result<bool, LabError> {
+    pub fn run(&self) -> Result<bool, TestbenchError> {
         let Seeds(first, last) = self.seeds;
         let mut all = Findings::default();
         let mut written = Vec::new();
@@ -135,7 +135,7 @@
 }
 
 /// Plays one plan; what was found, and the last lines of each process. All of them go into files there, if one is named.
-fn play(plan: &Plan, logs: Option<&Path>) -> Result<(Findings, Vec<Vec<String>>), LabError> {
+fn play(plan: &Plan, logs: Option<&Path>) -> Result<(Findings, Vec<Vec<String>>), TestbenchError> {
     runtime()?.block_on(LocalSet::new().run_until(run(plan.clone(), logs)))
 }
 
@@ -233,7 +233,7 @@
 }
 
 #[expect(clippy::too_many_lines)]
-async fn run(plan: Plan, logs: Option<&Path>) -> Result<(Findings, Vec<Vec<String>>), LabError> {
+async fn run(plan: Plan, logs: Option<&Path>) -> Result<(Findings, Vec<Vec<String>>), TestbenchError> {
     let clock = Clock::start();
     let options = Options {
         spec: plan.spec.clone(),
@@ -281,11 +281,11 @@
     }
     let mut logs = Vec::new();
     for life in lives {
-        logs.push(life.await.map_err(|_| LabError::Ended)??);
+        logs.push(life.await.map_err(|_| TestbenchError::Ended)??);
     }
     soak.over.set(true);
     for client in clients {
-        client.await.map_err(|_| LabError::Ended)?;
+        client.await.map_err(|_| TestbenchError::Ended)?;
     }
     timers.abort();
     let verdict = installation.verdict().await?;
@@ -309,11 +309,11 @@
 }
 
 /// Ports, files and faults of each process.
-fn places(plan: &Plan, installation: &Installation) -> Result<Vec<Place>, LabError> {
+fn places(plan: &Plan, installation: &Installation) -> Result<Vec<Place>, TestbenchError> {
     let program =
         std::env::var_os("WHEELPIER_LAB").map_or_else(std::env::current_exe, |path| Ok(path.into()))?;
     let lacks = "libwheelpier_faults.so is not beside this program: build the whole workspace";
-    let library = process::library(&program).ok_or_else(|| LabError::Script(lacks.to_owned()))?;
+    let library = process::library(&program).ok_or_else(|| TestbenchError::Script(lacks.to_owned()))?;
     let rate = 200.0 * plan.processes as f64;
     let mut settings = plan.spec.settings(rate);
     settings["balancers"] = json!(plan.processes);
@@ -363,7 +363,7 @@
     process: usize,
     place: Place,
     ends_at: Instant,
-) -> Result<Vec<String>, LabError> {
+) -> Result<Vec<String>, TestbenchError> {
     let mut lines = Vec::new();
     let mut running = begin(&soak, process, &place).await?;
     let (at, orders) = soak.plan.orders[process].clone();
@@ -376,7 +376,7 @@
     Ok(lines)
 }
 
-async fn begin(soak: &Soak, process: usize, place: &Place) -> Result<Process, LabError> {
+async fn begin(soak: &Soak, process: usize, place: &Place) -> Result<Process, TestbenchError> {
     soak.states.borrow_mut()[process].1 += 1;
     let mut started = Process::start(place)?;
     soak.process_ids.borrow_mut()[process] = started.id();
@@ -426,7 +426,7 @@
     order: Order,
     running: &mut Process,
     lines: &mut Vec<String>,
-) -> Result<(), LabError> {
+) -> Result<(), TestbenchError> {
     match order {
         Order::Pause => {
             running.pause(PAUSE).await;
@@ -533,8 +533,8 @@
         for group in 0..plan.spec.groups {
             let host = group * plan.spec.members;
             assert!(script.contains(&format!("LostAnswers {{ host: {host},")), "{script}");
-            let lost = ["Isolation", "Hang"].map(|trouble| format!("{trouble} {{ host: {host},"));
-            assert!(lost.iter().any(|trouble| script.contains(trouble)), "{script}");
+            let lost = ["Isolation", "Hang"].map(|fault| format!("{fault} {{ host: {host},"));
+            assert!(lost.iter().any(|fault| script.contains(fault)), "{script}");
         }
     }
 
--- a/crates/testbench/src/soak/plan.rs
+++ b/crates/testbench/src/soak/plan.rs
@@ -1,4 +1,4 @@
-//! What one seed stands for: a deployment, faults of system calls for each process, orders to processes, troubles at hosts
+//! What one seed stands for: a deployment, faults of system calls for each process, orders to processes, faults at hosts
 //! and clients with their habits. Drawn ahead, so that a seed can be played again alone.
 
 use rand::{Rng, RngExt, SeedableRng};
@@ -8,7 +8,7 @@
 use wheelpier_emulator::host::Delivery;
 use wheelpier_emulator::script::Script;
 use wheelpier_emulator::spec::Spec;
-use wheelpier_emulator::world::Trouble;
+use wheelpier_emulator::world::HostFault;
 use wheelpier_emulator::{Micros, SECOND};
 
 /// A kind of fault that may be left out, to make a failing seed smaller.
@@ -273,14 +273,14 @@
         let host = random.random_range(0..spec.groups * spec.members);
         let seconds = random.random_range(0.2..span.as_secs_f64() * 0.6);
         let length = (random.random_range(0.5..3.0) * SECOND as f64) as i64;
-        let trouble = match random.random_range(0..5) {
-            0 => Trouble::Death { host, span: length },
-            1 => Trouble::Hang { host, span: length },
-            2 => Trouble::Drain { host, span: length },
-            3 => Trouble::Lag { host, times: 8.0, span: length },
-            _ => Trouble::FastErrors { host, share: 0.3, span: length },
+        let fault = match random.random_range(0..5) {
+            0 => HostFault::Death { host, span: length },
+            1 => HostFault::Hang { host, span: length },
+            2 => HostFault::Drain { host, span: length },
+            3 => HostFault::Lag { host, times: 8.0, span: length },
+            _ => HostFault::FastErrors { host, share: 0.3, span: length },
         };
-        script = script.then(seconds, trouble);
+        script = script.then(seconds, fault);
     }
     if random.random_bool(0.3) {
         let group = random.random_range(0..spec.groups);
@@ -296,9 +296,9 @@
     let length = (seconds * SECOND as f64) as i64;
     let primary = group * spec.members;
     for host in primary + 1..primary + spec.members {
-        script = script.then(begins, Trouble::Lag { host, times: STANDSTILL, span: length });
+        script = script.then(begins, HostFault::Lag { host, times: STANDSTILL, span: length });
     }
-    script.then(begins, Trouble::Death { host: primary, span: length })
+    script.then(begins, HostFault::Death { host: primary, span: length })
 }
 
 /// Groups lose their first primary for some seconds while their replicas stand still, and it goes on as a replica that does
@@ -313,10 +313,10 @@
         if random.random_bool(0.7) {
             let host = group * spec.members;
             let first = match hangs {
-                true => Trouble::Hang { host, span: lost },
-                false => Trouble::Isolation { host, span: lost },
+                true => HostFault::Hang { host, span: lost },
+                false => HostFault::Isolation { host, span: lost },
             };
-            let losses = Trouble::LostAnswers { host, share, delivery, span: FOREVER };
+            let losses = HostFault::LostAnswers { host, share, delivery, span: FOREVER };
             script = stand_still(script, spec, group, begins).then(begins, first).then(begins, losses);
         }
     }
@@ -342,11 +342,11 @@
     for group in 0..spec.groups {
         let host = group * spec.members;
         let first = match group % 3 {
-            2 => Trouble::Hang { host, span: PRIMARY_LOST_FOR },
-            _ => Trouble::Isolation { host, span: PRIMARY_LOST_FOR },
+            2 => HostFault::Hang { host, span: PRIMARY_LOST_FOR },
+            _ => HostFault::Isolation { host, span: PRIMARY_LOST_FOR },
         };
         let (share, delivery) = [(1.0, Delivery::Silence), (0.5, Delivery::Reset)][group % 2];
-        let losses = Trouble::LostAnswers { host, share, delivery, span: FOREVER };
+        let losses = HostFault::LostAnswers { host, share, delivery, span: FOREVER };
         script = stand_still(script, spec, group, PRIMARY_LOST_AT_S);
         script = script.then(PRIMARY_LOST_AT_S, first).then(PRIMARY_LOST_AT_S, losses);
     }
@@ -356,7 +356,7 @@
 /// All members of a group apply next to nothing of the log from then on.
 fn stand_still(mut script: Script, spec: &Spec, group: usize, begins: f64) -> Script {
     for host in group * spec.members..(group + 1) * spec.members {
-        script = script.then(begins, Trouble::Lag { host, times: STANDSTILL, span: FOREVER });
+        script = script.then(begins, HostFault::Lag { host, times: STANDSTILL, span: FOREVER });
     }
     script
 }
--- a/crates/testbench/src/soak/process.rs
+++ b/crates/testbench/src/soak/process.rs
@@ -2,7 +2,7 @@
 
 use super::ledger::End;
 use super::run_queue::{Delays, Start, TimerLateness};
-use crate::LabError;
+use crate::TestbenchError;
 use std::fs::File;
 use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
@@ -55,7 +55,7 @@
     ///
     /// # Errors
     /// When there can be no process.
-    pub fn start(place: &Place) -> Result<Self, LabError> {
+    pub fn start(place: &Place) -> Result<Self, TestbenchError> {
         let mut child = Command::new(&place.program)
             .arg("proxy")
             .env("GW_CONFIG", &place.file)
--- a/crates/testbench/src/starve.rs
+++ b/crates/testbench/src/starve.rs
@@ -3,7 +3,7 @@
 
 use crate::load::{self, ClassResult, Target};
 use crate::rig::Rig;
-use crate::{runtime, table, LabError};
+use crate::{runtime, table, TestbenchError};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -59,18 +59,18 @@
 
 impl Starve {
     /// Whether the sale-writes fare as well with the crowd as without it.
-    pub fn run(&self) -> Result<bool, LabError> {
+    pub fn run(&self) -> Result<bool, TestbenchError> {
         let (seed, seconds, rate) = (self.seed, self.seconds, self.rate);
         let mut outcomes = Vec::with_capacity(2);
         for crowd in [(0, 0), (self.writers, self.readers)] {
             let one = thread::spawn(move || runtime()?.block_on(play(seed, seconds, rate, crowd)));
-            outcomes.push(one.join().map_err(|_| LabError::Ended)??);
+            outcomes.push(one.join().map_err(|_| TestbenchError::Ended)??);
         }
         Ok(report(&outcomes))
     }
 }
 
-async fn play(seed: u64, seconds: f64, rate: f64, crowd: (usize, usize)) -> Result<Outcome, LabError> {
+async fn play(seed: u64, seconds: f64, rate: f64, crowd: (usize, usize)) -> Result<Outcome, TestbenchError> {
     let spec = Spec::sapporo();
     let wires = vec![Wire::Postgres];
     let options = Options { spec: spec.clone(), seed, wires, script: Script::calm(), proxies: 1 };
@@ -88,7 +88,7 @@
     let verdict = rig.installation.verdict().await?;
     let memory = (rig.proxy.budget.peak_used(), rig.proxy.budget.cap());
     rig.proxy.end().await?;
-    slow.join().map_err(|_| LabError::Ended)??;
+    slow.join().map_err(|_| TestbenchError::Ended)??;
     Ok(Outcome { classes, verdict, memory })
 }
 
--- a/crates/testbench/tests/deployments.rs
+++ b/crates/testbench/tests/deployments.rs
@@ -1,4 +1,4 @@
-//! Each deployment on sockets: a real proxy before the stand-in's ledger sets and discovery, under troubles.
+//! Each deployment on sockets: a real proxy before the stand-in's ledger sets and discovery, under faults.
 
 use rstest::rstest;
 use std::rc::Rc;
--- a/crates/testbench/tests/fault_scripts.rs
+++ b/crates/testbench/tests/fault_scripts.rs
@@ -1,4 +1,4 @@
-//! Each script of troubles in virtual time, with many seeds. `processes.rs` plays some of them on processes.
+//! Each fault script in virtual time, with many seeds. `processes.rs` plays some of them on processes.
 
 use rstest::rstest;
 use std::path::PathBuf;
--- a/crates/testbench/tests/fleet.rs
+++ b/crates/testbench/tests/fleet.rs
@@ -5,9 +5,9 @@
 use wheelpier_decisions::Settings;
 use wheelpier_emulator::checker::Rule;
 use wheelpier_emulator::spec::{Spec, WhenBehind};
-use wheelpier_emulator::world::Trouble;
+use wheelpier_emulator::world::HostFault;
 use wheelpier_emulator::{Micros, MS, SECOND};
-use wheelpier_testbench::fleet::{play, Burst, ColdPeak, Day, Incident, Tally};
+use wheelpier_testbench::fleet::{play, Burst, ColdPeak, Day, FleetMetrics, Incident};
 
 const GROUPS: usize = 10;
 const MEMBERS: usize = 6;
@@ -48,7 +48,7 @@
 /// Half of each group dies and comes back cold.
 fn zone(_: usize) -> Vec<(Micros, Incident)> {
     let lost = (0..HOSTS).filter(|host| host % 2 == 1);
-    let dies = |host| Incident::World(Trouble::Death { host, span: 3 * SECOND });
+    let dies = |host| Incident::World(HostFault::Death { host, span: 3 * SECOND });
     lost.map(|host| (2 * SECOND, dies(host))).collect()
 }
 
@@ -57,8 +57,8 @@
     let mut all = Vec::new();
     for host in (0..HOSTS).filter(|host| host % 5 < 3) {
         let at = SECOND + (host % 3) as Micros * 1_500 * MS;
-        all.push((at, Incident::World(Trouble::Drain { host, span: 20 * SECOND })));
-        all.push((at + 1_500 * MS, Incident::World(Trouble::Death { host, span: 500 * MS })));
+        all.push((at, Incident::World(HostFault::Drain { host, span: 20 * SECOND })));
+        all.push((at + 1_500 * MS, Incident::World(HostFault::Death { host, span: 500 * MS })));
     }
     all
 }
@@ -66,14 +66,14 @@
 /// One in three members of each group dies and comes back cold.
 fn third(_: usize) -> Vec<(Micros, Incident)> {
     let lost = (0..HOSTS).filter(|host| host % MEMBERS % 3 == 1);
-    let dies = |host| Incident::World(Trouble::Death { host, span: 3 * SECOND });
+    let dies = |host| Incident::World(HostFault::Death { host, span: 3 * SECOND });
     lost.map(|host| (2 * SECOND, dies(host))).collect()
 }
 
 /// All replicas are replaced at once, and some seconds later their primary drains: a cold one takes over.
 fn takeover(_: usize) -> Vec<(Micros, Incident)> {
-    let dies = |host| (SECOND, Incident::World(Trouble::Death { host, span: SECOND / 2 }));
-    let drains = |host| (5 * SECOND, Incident::World(Trouble::Drain { host, span: 20 * SECOND }));
+    let dies = |host| (SECOND, Incident::World(HostFault::Death { host, span: SECOND / 2 }));
+    let drains = |host| (5 * SECOND, Incident::World(HostFault::Drain { host, span: 20 * SECOND }));
     (0..HOSTS).map(|host| if host % MEMBERS == 0 { drains(host) } else { dies(host) }).collect()
 }
 
@@ -81,14 +81,14 @@
     Vec::new()
 }
 
-fn kept(tally: &Tally) {
-    for (rule, (tried, broken)) in &tally.rules {
-        assert_eq!(*broken, 0, "{rule}: {:?}", tally.breaches);
+fn kept(metrics: &FleetMetrics) {
+    for (rule, (tried, broken)) in &metrics.rules {
+        assert_eq!(*broken, 0, "{rule}: {:?}", metrics.breaches);
         let always = matches!(rule, Rule::Answer | Rule::Value | Rule::Drain | Rule::Stale | Rule::Key);
         assert!(*tried > 0 || !always, "{rule} was never tried");
     }
-    let answered = tally.classes.values().any(|fates| fates.served + fates.turned_away > 0);
-    assert_eq!((tally.fell + tally.fell_unannounced, answered), (0, true));
+    let answered = metrics.classes.values().any(|outcomes| outcomes.served + outcomes.rejected > 0);
+    assert_eq!((metrics.fell + metrics.fell_unannounced, answered), (0, true));
 }
 
 #[rstest]
@@ -134,7 +134,7 @@
     assert!(many.copies * 20 <= many.sent(), "{} copies", many.copies);
 }
 
-/// The second deployment, played by its own three proxies with half of its troubles at once: no rule is broken, and most is
+/// The second deployment, played by its own three proxies with half of its faults at once: no rule is broken, and most is
 /// served in time.
 #[rstest]
 #[case::sapporo(Spec::sapporo(), 4, 0.80)]
@@ -145,13 +145,13 @@
     #[case] least: f64,
 ) {
     let members = spec.members;
-    let world = |at: Micros, trouble: Trouble| (at * SECOND, Incident::World(trouble));
+    let world = |at: Micros, fault: HostFault| (at * SECOND, Incident::World(fault));
     for seed in 1..=5 {
         let incidents = vec![
-            world(2, Trouble::FastErrors { host: 1, share: 0.6, span: 5 * SECOND }),
-            world(4, Trouble::Drain { host: members, span: 6 * SECOND }),
-            world(6, Trouble::Hang { host: 2 * members % (spec.groups * members), span: 4 * SECOND }),
-            world(8, Trouble::Lag { host: 2, times: 12.0, span: 4 * SECOND }),
+            world(2, HostFault::FastErrors { host: 1, share: 0.6, span: 5 * SECOND }),
+            world(4, HostFault::Drain { host: members, span: 6 * SECOND }),
+            world(6, HostFault::Hang { host: 2 * members % (spec.groups * members), span: 4 * SECOND }),
+            world(8, HostFault::Lag { host: 2, times: 12.0, span: 4 * SECOND }),
             (9 * SECOND, Incident::Restart(0, SECOND)),
         ];
         let rate = 0.5 * spec.capacity();
@@ -168,11 +168,16 @@
             burst: None,
             joins: Vec::new(),
         };
-        let tally = play(day).expect("the day can be played");
-        println!("{} seed {seed}: {:.3} in time, probes {}", spec.name, tally.part_in_time(), tally.probes);
-        kept(&tally);
-        assert!(tally.part_in_time() >= least, "{} seed {seed}: {:.3}", spec.name, tally.part_in_time());
-        assert!(spec.reports || tally.probes == 0, "who reports nothing is not asked");
+        let metrics = play(day).expect("the day can be played");
+        println!(
+            "{} seed {seed}: {:.3} in time, probes {}",
+            spec.name,
+            metrics.part_in_time(),
+            metrics.probes
+        );
+        kept(&metrics);
+        assert!(metrics.part_in_time() >= least, "{} seed {seed}: {:.3}", spec.name, metrics.part_in_time());
+        assert!(spec.reports || metrics.probes == 0, "who reports nothing is not asked");
     }
 }
 
@@ -186,10 +191,10 @@
         let share = |name: &str| if name == "sale-write" { 0.3 } else { 0.7 / 3.0 };
         day.spec.classes.iter_mut().for_each(|class| class.share = share(class.name));
         day.rate = 0.75 * day.spec.capacity();
-        let tally = play(day).expect("the day can be played");
-        let writes = tally.classes[&3];
+        let metrics = play(day).expect("the day can be played");
+        let writes = metrics.classes[&3];
         (asked, in_time, served) = (asked + writes.asked, in_time + writes.in_time, served + writes.served);
-        println!("seed {seed}: {:?}", tally.classes);
+        println!("seed {seed}: {:?}", metrics.classes);
     }
     let (served, in_time) = (served as f64 / asked as f64, in_time as f64 / asked as f64);
     println!("writes: {served:.3} served, {in_time:.3} in time");
@@ -199,10 +204,10 @@
 /// Ties must not favour the same host in every proxy.
 #[test]
 fn equal_hosts_get_equal_parts() {
-    let tally = play(day(100, 11, none(100))).expect("the day can be played");
+    let metrics = play(day(100, 11, none(100))).expect("the day can be played");
     for group in 0..GROUPS {
         // The first is the primary.
-        let replicas = (1..MEMBERS).map(|n| tally.sent_to(group * MEMBERS + n));
+        let replicas = (1..MEMBERS).map(|n| metrics.sent_to(group * MEMBERS + n));
         let (least, most) = replicas.fold((u64::MAX, 0), |(least, most), n| (least.min(n), most.max(n)));
         assert!(most as f64 <= 1.5 * least as f64, "group {group}: {least} to {most}");
     }
@@ -285,17 +290,17 @@
     fn play(self, seeds: u64) -> ColdHosts {
         let mut all = ColdHosts::default();
         for seed in 1..=seeds {
-            let tally = play(self.day(seed)).expect("the day can be played");
-            for peak in tally.cold.values() {
+            let metrics = play(self.day(seed)).expect("the day can be played");
+            for peak in metrics.cold.values() {
                 all.worst.attempts = all.worst.attempts.max(peak.attempts);
                 all.worst.work = all.worst.work.max(peak.work);
                 all.worst.allowance = all.worst.allowance.max(peak.allowance);
                 all.sum += peak.attempts;
             }
-            all.hosts += tally.cold.len();
-            all.fell += tally.fell;
-            all.fell_unannounced += tally.fell_unannounced;
-            all.in_time += tally.part_in_time() / seeds as f64;
+            all.hosts += metrics.cold.len();
+            all.fell += metrics.fell;
+            all.fell_unannounced += metrics.fell_unannounced;
+            all.in_time += metrics.part_in_time() / seeds as f64;
         }
         all
     }
--- a/crates/testbench/tests/members.rs
+++ b/crates/testbench/tests/members.rs
@@ -1,9 +1,9 @@
-//! A fleet of members in virtual time, through the troubles that it has to bear.
+//! A fleet of members in virtual time, through the faults that it has to bear.
 
 use proptest::prelude::*;
 use rstest::rstest;
 use wheelpier_emulator::{MS, SECOND};
-use wheelpier_testbench::members::{Fleet, Trouble};
+use wheelpier_testbench::members::{Fleet, FleetFault};
 
 #[rstest]
 fn seeds_found_the_fleet_and_the_others_join(#[values(1, 2, 3, 5, 7, 20)] members: usize) {
@@ -23,7 +23,7 @@
         let (epoch, begin) = (fleet.epoch(), fleet.now);
         let victim = seed as usize % 7;
         let gone = fleet.names[victim].clone();
-        fleet.play(vec![(0, Trouble::Kill(victim))], 6 * SECOND);
+        fleet.play(vec![(0, FleetFault::Kill(victim))], 6 * SECOND);
         let out = fleet.views.range(epoch + 1..).find(|(_, view)| view.member_named(&gone).is_none());
         let (at, view) = out.expect("it is out within 6 s");
         assert_eq!((*at, view.members.len()), (epoch + 1, 6), "seed {seed}: nobody else is out");
@@ -37,16 +37,16 @@
 
 /// Nothing that a network does to healthy members puts one out.
 #[rstest]
-#[case::a_fifth_is_lost(vec![Trouble::Loss(0.2)])]
-#[case::half_of_one_members_is_lost(vec![Trouble::LossAt(3, 0.5)])]
-#[case::late_with_a_long_tail(vec![Trouble::Delay(5 * MS, 300 * MS)])]
-#[case::one_way(vec![Trouble::Cut(1, 4)])]
-#[case::two_that_hear_each_other_through_others_only(vec![Trouble::Cut(0, 1), Trouble::Cut(1, 0)])]
-fn healthy_members_stay(#[case] troubles: Vec<Trouble>) {
+#[case::a_fifth_is_lost(vec![FleetFault::Loss(0.2)])]
+#[case::half_of_one_members_is_lost(vec![FleetFault::LossAt(3, 0.5)])]
+#[case::late_with_a_long_tail(vec![FleetFault::Delay(5 * MS, 300 * MS)])]
+#[case::one_way(vec![FleetFault::Cut(1, 4)])]
+#[case::two_that_hear_each_other_through_others_only(vec![FleetFault::Cut(0, 1), FleetFault::Cut(1, 0)])]
+fn healthy_members_stay(#[case] faults: Vec<FleetFault>) {
     for seed in 0..4 {
         let mut fleet = Fleet::founded(5, false, seed);
         let epoch = fleet.epoch();
-        let script = troubles.iter().map(|trouble| (0, trouble.clone())).collect();
+        let script = faults.iter().map(|fault| (0, fault.clone())).collect();
         fleet.play(script, 60 * SECOND);
         assert_eq!(fleet.epoch(), epoch, "seed {seed}: {:?}", fleet.views.values().next_back());
     }
@@ -57,9 +57,9 @@
     for (a, b) in (0..5).flat_map(|a| (0..5).map(move |b| (a, b))).filter(|(a, b)| a != b) {
         let mut fleet = Fleet::founded(5, false, 7);
         let epoch = fleet.epoch();
-        fleet.play(vec![(0, Trouble::Cut(a, b))], 20 * SECOND);
+        fleet.play(vec![(0, FleetFault::Cut(a, b))], 20 * SECOND);
         assert_eq!(fleet.epoch(), epoch, "from {a} to {b}");
-        fleet.play(vec![(0, Trouble::Heal)], SECOND);
+        fleet.play(vec![(0, FleetFault::Heal)], SECOND);
         fleet.settles_within(5 * SECOND);
     }
 }
@@ -71,11 +71,11 @@
     for seed in 0..5 {
         let mut fleet = Fleet::founded(5, false, seed);
         let epoch = fleet.epoch();
-        let script = sides.iter().map(|side| (0, Trouble::Split(side.clone()))).collect();
+        let script = sides.iter().map(|side| (0, FleetFault::Split(side.clone()))).collect();
         fleet.play(script, 30 * SECOND);
         assert!(fleet.epoch() - epoch <= most, "seed {seed}: {:?}", fleet.views);
         assert_eq!(fleet.fenced(), if most > 0 { 2 } else { 5 }, "seed {seed}");
-        fleet.play(vec![(0, Trouble::Heal)], SECOND);
+        fleet.play(vec![(0, FleetFault::Heal)], SECOND);
         let took = fleet.settles_within(15 * SECOND);
         println!("seed {seed}: together {} ms after the healing", 1_000 + took / MS);
     }
@@ -88,7 +88,7 @@
     for victim in 0..5 {
         let mut fleet = Fleet::founded(5, false, victim as u64);
         let epoch = fleet.epoch();
-        fleet.play(vec![(0, Trouble::Pause(victim, ms * MS))], ms * MS + 500 * MS);
+        fleet.play(vec![(0, FleetFault::Pause(victim, ms * MS))], ms * MS + 500 * MS);
         if ms <= 900 {
             assert_eq!(fleet.epoch(), epoch, "a healthy member looked dead");
         }
@@ -100,7 +100,7 @@
 fn a_majority_that_stands_still_at_once_goes_on_where_it_was() {
     for seed in 0..5 {
         let mut fleet = Fleet::founded(5, false, seed);
-        let script = (0..3).map(|n| (n * 100 * MS, Trouble::Pause(n as usize, 8 * SECOND))).collect();
+        let script = (0..3).map(|n| (n * 100 * MS, FleetFault::Pause(n as usize, 8 * SECOND))).collect();
         fleet.play(script, 9 * SECOND);
         fleet.settles_within(15 * SECOND);
     }
@@ -111,7 +111,7 @@
 fn a_restart_faster_than_the_detection_settles(#[values(false, true)] keeps: bool) {
     for victim in 0..5 {
         let mut fleet = Fleet::founded(5, keeps, victim as u64);
-        let script = vec![(0, Trouble::Kill(victim)), (300 * MS, Trouble::Start(victim))];
+        let script = vec![(0, FleetFault::Kill(victim)), (300 * MS, FleetFault::Start(victim))];
         fleet.play(script, SECOND);
         fleet.settles_within(15 * SECOND);
     }
@@ -122,8 +122,8 @@
 fn a_fleet_that_loses_all_its_processes_comes_back_from_its_disks() {
     let mut fleet = Fleet::founded(5, true, 3);
     let epoch = fleet.epoch();
-    let kills = (0..5).map(|n| (0, Trouble::Kill(n)));
-    let starts = (0..5).map(|n| ((1 + n as i64) * SECOND, Trouble::Start(n)));
+    let kills = (0..5).map(|n| (0, FleetFault::Kill(n)));
+    let starts = (0..5).map(|n| ((1 + n as i64) * SECOND, FleetFault::Start(n)));
     fleet.play(kills.chain(starts).collect(), 7 * SECOND);
     fleet.settles_within(20 * SECOND);
     assert!(fleet.epoch() >= epoch);
@@ -140,24 +140,24 @@
 fn whoever_takes_its_leave_is_out_at_once_and_nobody_is_accused() {
     let mut fleet = Fleet::founded(5, false, 4);
     let epoch = fleet.epoch();
-    fleet.play(vec![(0, Trouble::Leave(2))], SECOND);
+    fleet.play(vec![(0, FleetFault::Leave(2))], SECOND);
     assert_eq!((fleet.epoch(), fleet.left.len()), (epoch + 1, 1));
     fleet.settles_within(5 * SECOND);
 }
 
-fn troubles() -> impl Strategy<Value = Vec<(i64, Trouble)>> {
+fn faults() -> impl Strategy<Value = Vec<(i64, FleetFault)>> {
     let n = 0..5usize;
     let one = prop_oneof![
-        n.clone().prop_map(Trouble::Kill),
-        n.clone().prop_map(Trouble::Start),
-        (n.clone(), 100..8_000i64).prop_map(|(n, ms)| Trouble::Pause(n, ms * MS)),
-        (n.clone(), n.clone()).prop_map(|(a, b)| Trouble::Cut(a, b)),
-        prop::collection::vec(n.clone(), 1..3).prop_map(Trouble::Split),
-        Just(Trouble::Heal),
-        (0.0..0.4).prop_map(Trouble::Loss),
-        (0..200i64, 0..400i64).prop_map(|(least, more)| Trouble::Delay(least * MS, (least + more) * MS)),
+        n.clone().prop_map(FleetFault::Kill),
+        n.clone().prop_map(FleetFault::Start),
+        (n.clone(), 100..8_000i64).prop_map(|(n, ms)| FleetFault::Pause(n, ms * MS)),
+        (n.clone(), n.clone()).prop_map(|(a, b)| FleetFault::Cut(a, b)),
+        prop::collection::vec(n.clone(), 1..3).prop_map(FleetFault::Split),
+        Just(FleetFault::Heal),
+        (0.0..0.4).prop_map(FleetFault::Loss),
+        (0..200i64, 0..400i64).prop_map(|(least, more)| FleetFault::Delay(least * MS, (least + more) * MS)),
     ];
-    prop::collection::vec((0..40i64, one).prop_map(|(s, trouble)| (s * SECOND / 2, trouble)), 1..14)
+    prop::collection::vec((0..40i64, one).prop_map(|(s, fault)| (s * SECOND / 2, fault)), 1..14)
 }
 
 proptest! {
@@ -166,10 +166,10 @@
     /// Whatever happens, once it is over and all run, they are in one view within 15 s, and within 5 min more where one
     /// was put out again and again; on the way the rules hold.
     #[test]
-    fn any_script_ends_in_one_view(script in troubles(), seed in 0..1_000u64) {
+    fn any_script_ends_in_one_view(script in faults(), seed in 0..1_000u64) {
         let mut fleet = Fleet::founded(5, true, seed);
         fleet.play(script, 21 * SECOND);
-        let heal = std::iter::once((0, Trouble::Heal)).chain((0..5).map(|n| (10 * MS, Trouble::Start(n))));
+        let heal = std::iter::once((0, FleetFault::Heal)).chain((0..5).map(|n| (10 * MS, FleetFault::Start(n))));
         fleet.play(heal.collect(), 9 * SECOND);
         fleet.settles_within(315 * SECOND);
     }
@@ -181,17 +181,17 @@
 fn members_that_were_held_out_are_let_in_again_and_stay() {
     let mut fleet = Fleet::founded(5, true, 953);
     let script = vec![
-        (500 * MS, Trouble::Loss(0.25)),
-        (3_500 * MS, Trouble::Heal),
-        (6_000 * MS, Trouble::Pause(0, 7_623 * MS)),
-        (7_500 * MS, Trouble::Pause(3, 7_719 * MS)),
-        (11_500 * MS, Trouble::Delay(76 * MS, 472 * MS)),
-        (12_500 * MS, Trouble::Delay(161 * MS, 493 * MS)),
-        (15_500 * MS, Trouble::Split(vec![3])),
-        (17_000 * MS, Trouble::Split(vec![0, 1])),
+        (500 * MS, FleetFault::Loss(0.25)),
+        (3_500 * MS, FleetFault::Heal),
+        (6_000 * MS, FleetFault::Pause(0, 7_623 * MS)),
+        (7_500 * MS, FleetFault::Pause(3, 7_719 * MS)),
+        (11_500 * MS, FleetFault::Delay(76 * MS, 472 * MS)),
+        (12_500 * MS, FleetFault::Delay(161 * MS, 493 * MS)),
+        (15_500 * MS, FleetFault::Split(vec![3])),
+        (17_000 * MS, FleetFault::Split(vec![0, 1])),
     ];
     fleet.play(script, 30 * SECOND);
-    fleet.play(vec![(0, Trouble::Heal)], SECOND);
+    fleet.play(vec![(0, FleetFault::Heal)], SECOND);
     fleet.settles_within(315 * SECOND);
     let epoch = fleet.epoch();
     fleet.play(Vec::new(), 60 * SECOND);
@@ -203,7 +203,7 @@
 fn a_proposer_that_stands_still_at_any_step_holds_nobody_up() {
     for ms in (0..3_000).step_by(10) {
         let mut fleet = Fleet::founded(5, false, 1_000 + ms as u64);
-        fleet.play(vec![(0, Trouble::Kill(4)), (ms * MS, Trouble::Pause(0, 5_000 * MS))], 9 * SECOND);
+        fleet.play(vec![(0, FleetFault::Kill(4)), (ms * MS, FleetFault::Pause(0, 5_000 * MS))], 9 * SECOND);
         fleet.settles_within(30 * SECOND);
         assert!(fleet.settled().is_some_and(|view| view.members.len() == 4), "{ms} ms");
     }
@@ -215,7 +215,7 @@
     for seed in 0..20 {
         let mut fleet = Fleet::founded(5, false, seed);
         let epoch = fleet.epoch();
-        fleet.play(vec![(0, Trouble::Lies(seed as usize % 5))], 30 * SECOND);
+        fleet.play(vec![(0, FleetFault::Lies(seed as usize % 5))], 30 * SECOND);
         assert_eq!(fleet.epoch(), epoch, "seed {seed}");
         fleet.settles_within(SECOND);
     }
--- a/crates/testbench/tests/processes.rs
+++ b/crates/testbench/tests/processes.rs
@@ -1,4 +1,4 @@
-//! Several processes of the program, with faults between them: each script of troubles is played on them, and what they say is
+//! Several processes of the program, with faults between them: each fault script is played on them, and what they say is
 //! held against the rules and against the script. Bounds are on outcomes, generous in time. `fault_scripts.rs` plays the same
 //! scripts in virtual time.
 
--- a/tests/sockets/faults.rs
+++ b/tests/sockets/faults.rs
@@ -1,5 +1,5 @@
 //! System calls fail in the ways that Linux documents (accept4(2), connect(2), socket(2), recv(2), send(2), epoll_wait(2)):
-//! what is this machine's own trouble harms no host's record and no client beside the one concerned.
+//! what is this machine's own fault harms no host's record and no client beside the one concerned.
 
 use crate::scenario::{play_faulty, settings, settings_with};
 use rstest::rstest;
@@ -69,7 +69,7 @@
     play_faulty(&format!("seed=5;connect:host:{error}:1/2"), &settings(), 3, text);
 }
 
-/// A connection that was aborted before it was accepted is nobody's trouble: idle clients stay.
+/// A connection that was aborted before it was accepted is nobody's fault: idle clients stay.
 #[rstest]
 fn an_aborted_connection_evicts_nobody(#[values("ECONNABORTED", "EPROTO", "EINTR", "ENETDOWN")] error: &str) {
     let text = "
