Take what conversations of the socket tests repeat into their shorthand, and once more in role.rs

Six tests of role.rs go through one function instead of the same four lines; further requests that are asked, served and checked stand in one line. No step and no expectation changes.

--- a/tests/sockets/clock.rs
+++ b/tests/sockets/clock.rs
@@ -35,9 +35,7 @@
         wait 200
         any serve c1 own q4 2900 = four replica
         wait 200
-        h2 take c1 own q5 2900
-        h2 send value five replica
-        c1 expect value five";
+        h2 serve c1 own q5 2900 = five replica";
     play_faulty(&format!("clock::step={step_ms}:1/1"), &settings(), 2, text);
 }
 
@@ -70,8 +68,7 @@
         any take c1 read q4 2900
         any send value old replica -5000    # whoever took it turns out to be a replica far behind
         any expect id=q4
-        any send value new replica -100
-        c1 expect value new";
+        any answer c1 new replica -100";
     play_faulty(&format!("clock::step={step_ms}:1/1"), &unchecked(), 3, text);
 }
 
@@ -89,9 +86,7 @@
 ) {
     let text = "
         c1 start
-        any take c1 read q1 2900
-        any send value one primary
-        c1 expect value one";
+        any serve c1 read q1 2900 = one primary";
     play_faulty(&format!("clock::step={step_ms}:1/1"), &unchecked_and_unhurried(), 3, text);
 }
 
--- a/tests/sockets/crossing.rs
+++ b/tests/sockets/crossing.rs
@@ -219,8 +219,7 @@
         proxy send CONT
         {hello}
         h1 expect id=q1
-        h1 send value one primary
-        c1 expect value one"
+        h1 answer c1 one primary"
     );
     play(1, &text);
 }
--- a/tests/sockets/deployments.rs
+++ b/tests/sockets/deployments.rs
@@ -88,8 +88,7 @@
         h1 answer c1 two primary
         c1 send text {read} /* id=q3,c=own,{tenant}d=2900,cluster=0 */
         h1 expect id=q3
-        h1 send value three primary
-        c1 expect value three"
+        h1 answer c1 three primary"
     );
     play_in(&settings.to_string(), 1, &text);
 }
--- a/tests/sockets/ending.rs
+++ b/tests/sockets/ending.rs
@@ -59,8 +59,7 @@
         wait 420
         c1 send read q1 {longest}
         h1 expect ,d={}                      # of which 10 ms or so are kept for the way back
-        h1 send value late primary
-        c1 expect value late",
+        h1 answer c1 late primary",
         match longest {
             150 => "d=1",
             300 => "d=2",
--- a/tests/sockets/faults.rs
+++ b/tests/sockets/faults.rs
@@ -63,9 +63,7 @@
 ) {
     let text = "
         c1 start
-        any take c1 read q1 2900
-        any send value one replica
-        c1 expect value one";
+        any serve c1 read q1 2900 = one replica";
     play_faulty(&format!("seed=5;connect:host:{error}:1/2"), &settings(), 3, text);
 }
 
@@ -79,9 +77,7 @@
         wait 2100
         c2-9 start
         c1 expect silence 100
-        h1 take c1 read q1 2900
-        h1 send value one primary
-        c1 expect value one";
+        h1 serve c1 read q1 2900 = one primary";
     play_faulty(&format!("seed=4;accept4:client:{error}:1/2"), &settings(), 1, text);
 }
 
--- a/tests/sockets/fresh.rs
+++ b/tests/sockets/fresh.rs
@@ -117,8 +117,7 @@
 fn one_that_is_recent_enough_is_served(#[case] asks: &str, #[case] ahead: &str) {
     let text = format!(
         "{DEPOSED}
-        h1 take c2 {asks} q2 1900
-        h1 answer c2 there replica {ahead}
+        h1 serve c2 {asks} q2 1900 = there replica {ahead}
         proxy expect figures stale=0"
     );
     play_in(&bounded(500, "pure"), 1, &text);
@@ -137,8 +136,7 @@
         any expect id=q3
         any answer c1 three primary
         any expect id=q2
-        any send value there primary
-        c2 expect value there";
+        any answer c2 there primary";
     play_in(&bounded(500, "pure"), 2, text);
 }
 
@@ -173,8 +171,7 @@
         h1 take c1 write q1 2900
         h1 take c2 own q2 2900
         h2 expect silence 20
-        h1 send value two primary
-        c2 expect value two";
+        h1 answer c2 two primary";
     play_in(&bounded(500, "pure"), 2, text);
 }
 
@@ -219,8 +216,7 @@
 ) {
     let text = format!(
         "{CLOCK_IS_PROVED}{DEPOSED}
-        h1 take c2 {asks} q2 1900
-        h1 answer c2 there replica {ahead}
+        h1 serve c2 {asks} q2 1900 = there replica {ahead}
         proxy expect figures stale=0"
     );
     play_faulty(&format!("clock::step={step_ms}:1/1"), &bounded(500, "pure"), 2, &text);
--- a/tests/sockets/large.rs
+++ b/tests/sockets/large.rs
@@ -16,9 +16,7 @@
             "
         c1 start
         h1 serve c1 read q1 2900 = {value} primary
-        h1 take c1 read q2 900
-        h1 send value short primary
-        c1 expect value short"
+        h1 serve c1 read q2 900 = short primary"
         ),
     );
 }
@@ -65,9 +63,7 @@
             h1 expect id=q1
             h1 try value {value} primary
             c1 expect error 53300
-            h1 take c1 read q2 900
-            h1 send value short primary
-            c1 expect value short"
+            h1 serve c1 read q2 900 = short primary"
         ),
     );
 }
@@ -88,9 +84,7 @@
             h1 send raw {BEGUN}
             h1 close
             c1 expect gone
-            h1 take c2 read q2 900
-            h1 send value fine primary
-            c2 expect value fine"
+            h1 serve c2 read q2 900 = fine primary"
         ),
     );
 }
--- a/tests/sockets/leaving.rs
+++ b/tests/sockets/leaving.rs
@@ -234,8 +234,7 @@
         c3 send cancel
         c3 expect closed
         c1 expect silence 100
-        h1 send value one primary
-        c1 expect value one";
+        h1 answer c1 one primary";
     play_in(&patient(false), 1, text);
 }
 
--- a/tests/sockets/memory.rs
+++ b/tests/sockets/memory.rs
@@ -28,9 +28,7 @@
     c1 send part 60000
     c1 expect within 1000 error 53300
     c1 expect closed
-    h1 take c2 read q1 900
-    h1 send value fine primary
-    c2 expect value fine"
+    h1 serve c2 read q1 900 = fine primary"
 )]
 #[case::connections_without_room_are_closed_and_come_again(
     "memory: {purposes: {connections: {cap: 20KiB, reserve: 0B}}}",
--- a/tests/sockets/pipelining.rs
+++ b/tests/sockets/pipelining.rs
@@ -70,8 +70,7 @@
         wait 350
         h1 answer c1 one primary
         h1 expect id=q2 ,d=5                # some 540 ms
-        h1 send value two primary
-        c1 expect value two";
+        h1 answer c1 two primary";
     play_in(&unhurried(), 1, text);
 }
 
@@ -144,8 +143,7 @@
         c1 expect within 80 value one       # 160 ms from the error on nothing further is read
         c1 expect within 80 error 42601
         h1 expect id=q2
-        h1 send value two primary
-        c1 expect value two";
+        h1 answer c1 two primary";
     play_in(&unhurried(), 1, text);
 }
 
@@ -256,8 +254,7 @@
         h1 expect silence 100
         h1 answer c1 one primary
         h1 expect id=q2
-        h1 send value two primary
-        c1 expect value two";
+        h1 answer c1 two primary";
     play_with("memory: {purposes: {upstream-buffers: {cap: 64KiB, reserve: 0}}}", 1, text);
 }
 
--- a/tests/sockets/proxy.rs
+++ b/tests/sockets/proxy.rs
@@ -107,8 +107,7 @@
     c1 expect value mine
     c2 send read q1 2900                # and has ended
     h1 expect id=q1
-    h1 send value yours primary
-    c2 expect value yours"
+    h1 answer c2 yours primary"
 )]
 #[case::who_brings_nothing_of_use_is_told_or_cut_off_within_three_seconds(
     1,
@@ -182,9 +181,7 @@
     c1-40 send raw 00                   # 64 descriptors leave 22 for clients
     c41 send startup
     c41 expect within 500 ready
-    h1 take c41 read q1 900
-    h1 send value x primary
-    c41 expect value x"
+    h1 serve c41 read q1 900 = x primary"
 )]
 #[case::a_value_that_looks_like_a_comment_is_none(
     1,
@@ -192,8 +189,7 @@
     c1 start
     c1 send text SELECT content FROM kv WHERE name = '/* d=1 */' /* id=9,c=any,t=acme,d=800,cluster=0 */
     h1 expect '/* d=1 */' id=9
-    h1 send value x primary
-    c1 expect value x"
+    h1 answer c1 x primary"
 )]
 #[case::a_reset_read_goes_to_another_host(
     2,
@@ -202,8 +198,7 @@
     any take c1 read q1 900
     any close
     any expect id=q1
-    any send value second primary
-    c1 expect value second"
+    any answer c1 second primary"
 )]
 #[case::a_write_turned_away_is_not_failed(
     1,
@@ -213,8 +208,7 @@
     h1 expect INSERT id=w1
     h1 send error 25006
     h1 expect INSERT id=w1
-    h1 send value done primary
-    c1 expect value done"
+    h1 answer c1 done primary"
 )]
 #[case::a_silent_host_leaves_an_answer_before_the_client_goes(
     1,
@@ -275,8 +269,7 @@
     h2 send raw 44000000
     h2 send raw 02
     any expect id=q1
-    any send value good
-    c1 expect value good"
+    any answer c1 good"
 )]
 #[case::a_line_with_no_end_is_none(
     1,
@@ -298,9 +291,7 @@
     c1 expect value one
     h1 serve c1 read q2 900 = two primary
     h1 send parts TDCZ two              # behind the answer, as the next request comes
-    h1 take c1 read q3 900
-    h1 send value three primary
-    c1 expect value three"
+    h1 serve c1 read q3 900 = three primary"
 )]
 #[case::a_report_that_cannot_be_read_tells_nothing(
     1,
@@ -371,9 +362,7 @@
     c24 send startup                    # by now the others are idle for long: they make room
     c24 expect ready
     c1-22 expect closed
-    h1 take c24 read q2 900
-    h1 send value x primary
-    c24 expect value x"
+    h1 serve c24 read q2 900 = x primary"
 )]
 #[case::a_wait_beyond_all_measure_is_taken(
     1,
@@ -390,9 +379,7 @@
     "
     c1 start
     h1 serve c1 write w1 900 = x primary 9000000000000000000
-    h1 take c1 own r1 900
-    h1 send value y primary
-    c1 expect value y"
+    h1 serve c1 own r1 900 = y primary"
 )]
 #[case::a_watch_that_ends_is_resumed_where_it_was(
     2,
@@ -567,9 +554,7 @@
     h1 expect closed                    # idle connections to what is gone are of no use
     list send h1 up
     wait 50
-    h1 take c1 write w1 900
-    h1 send value back primary
-    c1 expect value back"
+    h1 serve c1 write w1 900 = back primary"
 )]
 #[case::counters_are_told_on_request_and_at_the_end(
     1,
--- a/tests/sockets/reported_role.rs
+++ b/tests/sockets/reported_role.rs
@@ -123,9 +123,7 @@
         h1 serve c4 own q4 2900 = four primary
         wait 700
         c10 start
-        h1 take c10 read q5 900
-        h1 send value five primary
-        c10 expect value five"
+        h1 serve c10 read q5 900 = five primary"
     );
     play_in(&unchecked(), 2, &text);
 }
--- a/tests/sockets/role.rs
+++ b/tests/sockets/role.rs
@@ -82,6 +82,12 @@
     h1 serve c8 read r8 2900 = still primary
 ";
 
+/// Once this has happened to the primary no read of that class is sent to it, until it has answered as the primary.
+fn read_is_rejected_after(events: &str, asks: &str) {
+    let text = format!("{PRIMARY}{events}\n{}{ROLE_CONFIRMED}", rejected_unsent(asks));
+    play_in(&single_attempts(), 1, &text);
+}
+
 /// The primary takes no connection, then one write whose answer is lost; so much later a read of this class comes.
 fn read_at_a_primary_in_doubt(asks: &str, later_ms: u64) -> String {
     format!(
@@ -164,9 +170,7 @@
         h1 serve c1 write q1 2900 = one primary
         wait {quiet_ms}
         c5 start
-        h1 take c5 {asks} q2 2900
-        h1 send value two primary
-        c5 expect value two"
+        h1 serve c5 {asks} q2 2900 = two primary"
     );
     play_in(&unchecked(0.5, |_| {}), 1, &text);
 }
@@ -180,33 +184,29 @@
 #[case::session_with_an_unanswered_write(300, "own")]
 #[case::session_with_an_unanswered_write(2_000, "own")]
 fn no_fresh_read_goes_to_a_primary_whose_attempts_timed_out(#[case] later_ms: u64, #[case] asks: &str) {
-    let text = format!(
-        "{PRIMARY}
+    let events = format!(
+        "
         h1 take c2 write q2 900
         h1 take c3 write q3 600
         c2-3 expect error
-        wait {later_ms}
-        {}{ROLE_CONFIRMED}",
-        rejected_unsent(asks)
+        wait {later_ms}"
     );
-    play_in(&single_attempts(), 1, &text);
+    read_is_rejected_after(&events, asks);
 }
 
 /// It does go on as a replica, with data from before: guards against reads that go there on what it was.
 #[test]
 fn no_fresh_read_goes_to_a_primary_that_hung_and_returned_as_a_replica() {
-    let text = format!(
-        "{PRIMARY}
+    read_is_rejected_after(
+        "
         h1 take c2 write q2 600
         c2 expect error
         wait 300
         h1 take c3 write q3 900
         h1 send parts wrZ none
-        c3 expect answer
-        {}{ROLE_CONFIRMED}",
-        rejected_unsent("read")
+        c3 expect answer",
+        "read",
     );
-    play_in(&single_attempts(), 1, &text);
 }
 
 /// The query was written, and the part of its answer that reports the role never came: guards against the fresh read right
@@ -224,15 +224,13 @@
     #[case] ends: &str,
     #[values("read", "own")] asks: &str,
 ) {
-    let text = format!(
-        "{PRIMARY}
+    let events = format!(
+        "
         h1 take c2 write q2 2900
         {ends}
-        c2 expect answer
-        {}{ROLE_CONFIRMED}",
-        rejected_unsent(asks)
+        c2 expect answer"
     );
-    play_in(&single_attempts(), 1, &text);
+    read_is_rejected_after(&events, asks);
 }
 
 /// The same where the session's next read may go there, since its host has applied all that the session has written.
@@ -240,15 +238,13 @@
 #[case::ended_after_the_position("h1 send parts TDCa two\nwait 600\nh1 close")]
 #[case::ended_after_the_error_25006("h1 send parts w two\nh1 close")]
 fn no_bounded_read_follows_a_known_end_that_was_cut_before_its_role(#[case] ends: &str) {
-    let text = format!(
-        "{PRIMARY}
+    let events = format!(
+        "
         h1 take c2 write q2 2900
         {ends}
-        c2 expect answer
-        {}{ROLE_CONFIRMED}",
-        rejected_unsent("read")
+        c2 expect answer"
     );
-    play_in(&single_attempts(), 1, &text);
+    read_is_rejected_after(&events, "read");
 }
 
 /// Queries are out at once, and only the first is answered: guards against a role that the losses after it leave standing.
@@ -256,8 +252,8 @@
 #[case::all_lost("h1 close reset")]
 #[case::one_answered("h1 send value two primary\nc2 expect value two\nwait 600")]
 fn no_fresh_read_follows_resets_of_several_queries(#[case] first: &str, #[values("read", "own")] asks: &str) {
-    let text = format!(
-        "{PRIMARY}
+    let events = format!(
+        "
         h1 take c2 write q2 2900
         h1 take c3 write q3 2900
         h1 take c4 write q4 2900
@@ -267,27 +263,23 @@
         h1 close reset
         h1 expect again id=q4
         h1 close reset
-        c3-4 expect error
-        {}{ROLE_CONFIRMED}",
-        rejected_unsent(asks)
+        c3-4 expect error"
     );
-    play_in(&single_attempts(), 1, &text);
+    read_is_rejected_after(&events, asks);
 }
 
 /// A role that was reported counts although the rest of its answer is missing: as a replica, and as the primary.
 #[test]
 fn a_role_reported_before_the_cut_counts_as_a_replicas() {
-    let text = format!(
-        "{PRIMARY}
+    read_is_rejected_after(
+        "
         h1 take c2 write q2 2900
         h1 send parts TDCr two
         wait 50
         h1 close
-        c2 expect answer
-        {}{ROLE_CONFIRMED}",
-        rejected_unsent("read")
+        c2 expect answer",
+        "read",
     );
-    play_in(&single_attempts(), 1, &text);
 }
 
 #[rstest]
@@ -304,9 +296,7 @@
         wait 50
         h1 close
         c2 expect answer
-        h1 take c4 read q4 2900
-        h1 send value four primary
-        c4 expect value four"
+        h1 serve c4 read q4 2900 = four primary"
     );
     play_in(&single_attempts(), 1, &text);
 }
@@ -449,8 +439,7 @@
     let text = format!(
         "{PRIMARY_OF_TWO}
         {before}
-        h2 take c3 {asks} q3 2900
-        h2 answer c3 three primary
+        h2 serve c3 {asks} q3 2900 = three primary
         h2 serve c4 read q4 2900 = four primary
         wait 600
         c9 start
@@ -472,9 +461,7 @@
         c7-8 start
         h1 serve c7 own o7 2900 = seven primary
         wait 600                            # only the role recommends it again
-        h1 take c8 read r8 2900
-        h1 send value eight primary
-        c8 expect value eight",
+        h1 serve c8 read r8 2900 = eight primary",
         rejected_unsent("read")
     );
     play_in(&with_unbounded_reads(), 1, &text);
@@ -614,9 +601,7 @@
         any serve c3 own q3 2900 = three primary
         wait 1300
         c4 start
-        any take c4 read q4 2900
-        any send value four primary
-        c4 expect value four";
+        any serve c4 read q4 2900 = four primary";
     let faults = match step_ms {
         0 => String::new(),
         _ => format!("clock::step={step_ms}:1/1"),
@@ -635,12 +620,9 @@
         c1-3 start
         h1 serve c1 write q1 2900 = one primary
         wait 700                            # the clock steps 500 ms after the first look at it
-        h1 take c2 {asks} q2 2900
-        h1 answer c2 two primary
+        h1 serve c2 {asks} q2 2900 = two primary
         wait 700
-        h1 take c3 {asks} q3 2900
-        h1 send value three primary
-        c3 expect value three"
+        h1 serve c3 {asks} q3 2900 = three primary"
     );
     let settings = unchecked(0.5, |all| all["limits"]["maxAttempts"] = json!(1));
     play_faulty(&format!("clock::step={step_ms}@500:1/1"), &settings, 1, &text);
--- a/tests/sockets/tds.rs
+++ b/tests/sockets/tds.rs
@@ -38,9 +38,7 @@
     1,
     "
     c1 start
-    h1 take c1 read q1 900
-    h1 send value hello primary
-    c1 expect value hello"
+    h1 serve c1 read q1 900 = hello primary"
 )]
 #[case::the_nearest_driver_chatter_is_answered(
     1,
