Review: a case ends its programs whatever ends it

Cause: a case that was killed left its proxies behind, and a closed standard output changed its exit status.

Change: the programs end with the case, and a case that takes 110 s ends as one that could not run.

--- a/review/rig.rs
+++ b/review/rig.rs
@@ -6,7 +6,7 @@
 use std::fs::{self, File};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::os::unix::process::ExitStatusExt;
+use std::os::unix::process::{CommandExt, ExitStatusExt};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
@@ -16,6 +16,7 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
 
 pub const SIGHUP: i32 = 1;
@@ -73,9 +74,19 @@
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
 }
 
+/// The longest time that a case may take.
+const LONGEST_RUN: Duration = Duration::from_secs(110);
+
 /// Runs a case and ends the process with its verdict. A panic of a stand-in is 'could not run'.
 pub fn run_case(case: impl FnOnce(&Record) -> Verdict) -> ! {
     let record = Record::create();
+    let watched = record.clone();
+    thread::spawn(move || {
+        sleep(LONGEST_RUN);
+        watched.line("could not run: it takes too long");
+        end_all_programs();
+        std::process::exit(Verdict::CouldNotRun as i32)
+    });
     let verdict = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| case(&record)));
     let verdict = verdict.unwrap_or_else(|panic| {
         let text = panic.downcast_ref::<String>().cloned();
@@ -85,7 +96,7 @@
     });
     end_all_programs();
     record.line(&format!("verdict: {verdict:?}"));
-    println!("{verdict:?}");
+    let _ = writeln!(io::stdout(), "{verdict:?}");
     std::process::exit(verdict as i32)
 }
 
@@ -160,6 +171,14 @@
         }
         command.env("GW_CONFIG", &path).env("TMPDIR", &folder.0).stdin(Stdio::null());
         command.stdout(log.try_clone().unwrap()).stderr(log);
+        // The program ends with the case, whatever ends that. (PR_SET_PDEATHSIG; called by the main thread.)
+        // SAFETY: prctl(2) may be called between fork and exec.
+        unsafe {
+            command.pre_exec(|| match prctl(1, SIGKILL as u64) {
+                0 => Ok(()),
+                _ => Err(io::Error::last_os_error()),
+            });
+        }
         let child = command.spawn().expect("the program starts");
         RUNNING.lock().unwrap().push(child.id() as i32);
         record.line(&format!("{name}: started"));
