Free the task of each ended client at once, and let no storm delay SIGTERM

Under the same storm SIGTERM had no effect.

Cause: the accept loop kept its clients' actors in a JoinSet, which holds a task's memory (4 KiB) until join_next returns it, and accept was polled before join_next. The claim says that join_next is never polled; a trace says otherwise: of 21,422 accepted 6,279 (29 %) were collected, 15,142 stayed, while 99 to 143 connections were open. One poll of the loop has a cooperative budget of 128: some 100 accepts come first, what is left collects the rest, 28 of 100. With a backlog of ended tasks join_next is always ready, so the branches behind it, SIGTERM among them, are not polled at all.

Change: a TaskTracker (tokio-util, feature rt) counts the actors and keeps nothing of an ended one, so there is nothing to collect. What comes once or after a pause (SIGTERM, the handover's next step, the end of a pause in accepting) is polled before accept; from the time by which every connection is closed nothing is accepted any more, so that the process ends by itself under a storm. Emptying a listener's queue before its close ends after as many accepts as the queue holds; the listener then stays for the next step.

--- a/src/net/frontend/acceptor.rs
+++ b/src/net/frontend/acceptor.rs
@@ -18,8 +18,9 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::task::{yield_now, JoinSet};
-use tokio::time::{sleep_until, Instant};
+use tokio::task::yield_now;
+use tokio::time::Instant;
+use tokio_util::task::TaskTracker;
 
 pub(super) use handover::Redirection;
 
@@ -43,8 +44,6 @@
     Accepted(io::Result<(Protocol, TcpStream)>),
     /// The pause after a failed accept is over.
     BackoffElapsed,
-    /// The actor of a client has ended.
-    ClientEnded,
     /// SIGTERM was received.
     ShutdownStarted,
     /// The next step of the listeners' handover is due.
@@ -53,6 +52,12 @@
     ExitDue,
 }
 
+/// Returns once the process may exit at `exit_at` and no client is connected; never if it is `None`.
+async fn exit_due(exit_at: Option<Instant>, clients: &TaskTracker) {
+    sleep_until_some(exit_at).await;
+    clients.wait().await;
+}
+
 /// The accept loop and its state.
 #[derive(Debug)]
 pub(crate) struct Acceptor {
@@ -60,8 +65,9 @@
     context: ClientContext,
     admission: AdmissionControl,
     request_ids: RequestIds,
-    /// The actors of clients.
-    clients: JoinSet<()>,
+    /// The actors of clients. The memory of an actor's task is freed at its end: a task that had to be
+    /// collected first would be kept for as long as connections come faster than the loop collects.
+    clients: TaskTracker,
     /// Changes once, at SIGTERM.
     draining: watch::Receiver<Option<Instant>>,
     /// The end of a pause in accepting, after this machine has run out of file descriptors or buffers.
@@ -78,11 +84,14 @@
 impl Acceptor {
     /// Returns an acceptor for `listeners`.
     pub fn new(listeners: Listeners, context: ClientContext) -> Self {
+        let clients = TaskTracker::new();
+        // Lets `wait` return as soon as no actor runs; actors can be started all the same.
+        clients.close();
         Self {
             listeners,
             admission: AdmissionControl::new(context.clone()),
             request_ids: RequestIds::default(),
-            clients: JoinSet::new(),
+            clients,
             draining: context.draining.clone(),
             backoff_until: None,
             exit_after: None,
@@ -100,7 +109,6 @@
                 AcceptorEvent::Accepted(Ok((protocol, stream))) => self.start_client(protocol, stream).await,
                 AcceptorEvent::Accepted(Err(error)) => self.handle_accept_error(&error),
                 AcceptorEvent::BackoffElapsed => self.backoff_until = None,
-                AcceptorEvent::ClientEnded => {}
                 AcceptorEvent::ShutdownStarted => {
                     self.exit_after =
                         self.context.shutdown().map(|(_, schedule)| schedule.earliest_exit_after);
@@ -124,24 +132,35 @@
         }
     }
 
-    /// Waits for the next event. Connections are accepted before the process exits.
+    /// Waits for the next event. Connections are accepted before the process exits, unless they keep coming
+    /// when every connection has to be closed.
+    ///
+    /// Connections may come without a pause, so that accepting is always possible and uses up the task's
+    /// cooperative budget in each poll. The events before it are therefore such as come once or after a pause;
+    /// only the exit has to wait.
     async fn next_event(&mut self) -> AcceptorEvent {
         let exit_at = self.exit_at();
+        let accepts = self.backoff_until.is_none() && !self.is_past_force_close();
         let Self { listeners, clients, draining, backoff_until, exit_after, handover_due, .. } = self;
         tokio::select! {
             biased;
-            // Polled first, so that a steady stream of new connections does not delay the handover.
+            Ok(()) = draining.changed(), if exit_after.is_none() => AcceptorEvent::ShutdownStarted,
             () = sleep_until_some(*handover_due) => AcceptorEvent::HandoverDue,
-            accepted = listeners.accept(), if backoff_until.is_none() => AcceptorEvent::Accepted(accepted),
-            () = sleep_until(backoff_until.unwrap_or_else(Instant::now)), if backoff_until.is_some() => {
+            () = sleep_until_some(*backoff_until), if backoff_until.is_some() => {
                 AcceptorEvent::BackoffElapsed
             }
-            Some(_) = clients.join_next() => AcceptorEvent::ClientEnded,
-            Ok(()) = draining.changed(), if exit_after.is_none() => AcceptorEvent::ShutdownStarted,
-            () = sleep_until_some(exit_at), if clients.is_empty() => AcceptorEvent::ExitDue,
+            accepted = listeners.accept(), if accepts => AcceptorEvent::Accepted(accepted),
+            () = exit_due(exit_at, clients) => AcceptorEvent::ExitDue,
         }
     }
 
+    /// Returns whether a shutdown has reached the time by which every connection is closed.
+    fn is_past_force_close(&self) -> bool {
+        self.context
+            .shutdown()
+            .is_some_and(|(started_at, schedule)| started_at.elapsed() >= schedule.force_close_after)
+    }
+
     /// Returns the time of the earliest exit, which is not before the next step of a handover in progress;
     /// `None` before SIGTERM.
     fn exit_at(&self) -> Option<Instant> {
--- a/src/net/frontend/listeners.rs
+++ b/src/net/frontend/listeners.rs
@@ -30,11 +30,12 @@
     /// them to `accepted`.
     ///
     /// # Errors
-    /// Returns an error if this machine has run out of file descriptors or buffers: further connections may
-    /// be left in the queue.
+    /// Returns an error if further connections may be left in the queue: this machine has run out of file
+    /// descriptors or buffers, or connections still arrive at this listener ([`io::ErrorKind::ResourceBusy`]).
     pub fn accept_queue(&self, accepted: &mut Vec<TcpStream>) -> io::Result<()> {
         let socket = SockRef::from(&self.socket);
-        loop {
+        // A queue holds one connection more than its limit (listen(2)).
+        for _ in 0..=BACKLOG + 1 {
             match socket.accept() {
                 Ok((connection, _)) => {
                     connection.set_nonblocking(true)?;
@@ -47,6 +48,7 @@
                 Err(_) => {}
             }
         }
+        Err(io::ErrorKind::ResourceBusy.into())
     }
 }
 
--- a/tests/sockets/scenario/mod.rs
+++ b/tests/sockets/scenario/mod.rs
@@ -1333,6 +1333,13 @@
         format!("SIGTERM after {sigterm} ms, exit after {exit} ms{}", self.0.program.format_delays(delays))
     }
 
+    /// Returns the largest amount of memory that the program has held so far, in KiB.
+    pub fn peak_memory_kib(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.0.program.id())).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmHWM:")).expect("a peak");
+        line.split_whitespace().nth(1).and_then(|value| value.parse().ok()).expect("a number")
+    }
+
     /// Returns the counters that the console reports, by name without `gw.`.
     pub fn console_counters(&self) -> HashMap<String, u64> {
         let stats = self.0.call_console("stats");
