Close a client that floods without a request in time

Callers saw: a client that repeats its request for encryption, or Sync messages, without a pause keeps its connection for as long as it likes; a close is due within 3 s of connecting.

Cause: the selects of the startup and of an idle connection poll the socket first, and while bytes are there nothing else. In the startup reads repeat inside one branch until the task's cooperative budget is used up; timers polled after that report nothing either.

Change: the startup, and the wait for a first statement or the rest of one, end after a read that came past their deadline and brought neither; in the startup an eviction counts likewise. An idle connection leaves each seventeenth turn to the other events (memory reclaims, pressure, eviction).

--- a/src/net/frontend/client/limits.rs
+++ b/src/net/frontend/client/limits.rs
@@ -42,6 +42,8 @@
 pub(super) const READ_AHEAD_BYTES: usize = 16 * 1024;
 /// Number of bytes in the write buffer from which on answers are written before further ones are encoded.
 pub(super) const WRITE_BATCH_BYTES: usize = 64 * 1024;
+/// Number of reads after which an idle connection leaves one turn to other events.
+pub(super) const READS_PER_SIGNAL_TURN: u32 = 16;
 /// Number of turns for which a connection that is due to be closed stays open because its socket has unread
 /// bytes. The runtime needs one turn to see them.
 pub(super) const MAX_UNREAD_TURNS: u32 = 8;
--- a/src/net/frontend/client/startup.rs
+++ b/src/net/frontend/client/startup.rs
@@ -4,7 +4,9 @@
 use super::{Activity, Client, ConnectionEnd, DrainSignals};
 use crate::net::frontend::close_reason::CloseReason;
 use crate::net::frontend::conversation::{ClientEvent, Conversation};
+use crate::net::socket::is_ready;
 use tokio::io::AsyncReadExt;
+use tokio::sync::Notify;
 use tokio::task::yield_now;
 use tokio::time::{sleep_until, Instant};
 
@@ -27,7 +29,7 @@
             tokio::select! {
                 // Polled first: a session that is open by now is kept.
                 biased;
-                opened = self.read_startup() => return opened,
+                opened = self.read_startup(eviction.as_deref()) => return opened,
                 () = notified(eviction.as_deref()) => {}
                 () = sleep_until(deadline) => {}
                 () = &mut drain_deadline, if !is_past_drain_deadline => is_past_drain_deadline = true,
@@ -40,7 +42,12 @@
     }
 
     /// Reads messages until the session is open. Cancel safe: bytes that were read stay in the read buffer.
-    async fn read_startup(&mut self) -> Result<(), ConnectionEnd> {
+    ///
+    /// # Errors
+    /// Returns an error as [`Self::open_session`] does; for the end of the startup only after a read that
+    /// opened no session, since the timers are not polled while bytes keep arriving.
+    async fn read_startup(&mut self, eviction: Option<&Notify>) -> Result<(), ConnectionEnd> {
+        let mut has_read = false;
         loop {
             self.set_activity(Activity::Startup);
             while let Some(event) =
@@ -57,6 +64,10 @@
                     _ => {}
                 }
             }
+            if has_read && self.is_startup_over(eviction).await {
+                return Err(ConnectionEnd::Closed(CloseReason::StartupTimeout));
+            }
+            has_read = true;
             if self.socket.read_buf(&mut self.read_buffer).await? == 0 {
                 return Err(ConnectionEnd::Closed(CloseReason::ClientLeft));
             }
@@ -64,4 +75,12 @@
             self.reserve_buffers()?;
         }
     }
+
+    /// Returns whether the latest bytes of the startup arrived when it was due to end: its time was over, a
+    /// drain left no more time, or the connection was evicted.
+    async fn is_startup_over(&self, eviction: Option<&Notify>) -> bool {
+        let drain_deadline = self.context.startup_deadline().filter(|_| self.context.is_draining());
+        let deadline = drain_deadline.into_iter().fold(self.state.startup_deadline(), Instant::min);
+        self.state.last_read_at >= deadline || is_ready(notified(eviction)).await
+    }
 }
--- a/src/net/frontend/client/state.rs
+++ b/src/net/frontend/client/state.rs
@@ -4,7 +4,8 @@
 
 use super::end::ConnectionEnd;
 use super::limits::{
-    ERROR_BACKOFF, FIRST_REQUEST_TIMEOUT, MAX_PROTOCOL_ERRORS, MESSAGE_TIMEOUT, STARTUP_TIMEOUT,
+    ERROR_BACKOFF, FIRST_REQUEST_TIMEOUT, MAX_PROTOCOL_ERRORS, MESSAGE_TIMEOUT, READS_PER_SIGNAL_TURN,
+    STARTUP_TIMEOUT,
 };
 use tokio::time::Instant;
 
@@ -22,6 +23,8 @@
     pub paused_until: Option<Instant>,
     /// Number of turns for which the connection was kept open because of unread bytes.
     pub unread_turns: u32,
+    /// Number of reads since the last turn that was left to other events.
+    reads_since_signal_turn: u32,
     /// Number of invalid statements so far.
     pub protocol_errors: u32,
     /// Whether the client has sent a request.
@@ -45,6 +48,7 @@
             partial_since: None,
             paused_until: None,
             unread_turns: 0,
+            reads_since_signal_turn: 0,
             protocol_errors: 0,
             has_sent_request: false,
             is_peer_closed: false,
@@ -81,6 +85,17 @@
         self.last_activity_at = now;
         self.last_read_at = now;
         self.unread_turns = 0;
+        self.reads_since_signal_turn += 1;
+    }
+
+    /// Returns whether the next turn has to be left to events other than bytes of the client, as every
+    /// [`READS_PER_SIGNAL_TURN`] reads: a client that sends without a pause would keep them waiting for ever.
+    pub fn take_signal_turn(&mut self) -> bool {
+        let is_due = self.reads_since_signal_turn >= READS_PER_SIGNAL_TURN;
+        if is_due {
+            self.reads_since_signal_turn = 0;
+        }
+        is_due
     }
 
     /// Records that the client has closed its side. Statements that it sent before are no longer delayed by a
--- a/src/net/frontend/client/waiting.rs
+++ b/src/net/frontend/client/waiting.rs
@@ -13,7 +13,7 @@
 use crate::net::socket::{has_unread_bytes, peer_closed, Socket};
 use crate::rejection_reason::RejectionReason;
 use bytes::BytesMut;
-use std::future::pending;
+use std::future::{pending, ready};
 use std::io;
 use std::sync::Arc;
 use tokio::io::AsyncReadExt;
@@ -121,6 +121,10 @@
         signals.first_request_eviction.take_if(|_| self.state.has_sent_request);
         let has_partial = self.record_partial_message();
         let statement_deadline = self.state.statement_deadline();
+        if statement_deadline.is_some_and(|deadline| self.state.last_read_at >= deadline) {
+            return self.handle_overdue_statement();
+        }
+        let may_read = !self.state.take_signal_turn();
         self.set_activity(if has_partial { Activity::Receiving } else { Activity::Idle });
         // The first request, or the rest of a message, may still arrive until this time.
         let close_idle_at = self.drain_decision(has_partial).close_idle_at;
@@ -128,7 +132,7 @@
         let Self { socket, read_buffer, drains, .. } = self;
         tokio::select! {
             biased;
-            result = socket.read_buf(read_buffer) => self.handle_read(result).await?,
+            result = socket.read_buf(read_buffer), if may_read => self.handle_read(result).await?,
             () = sleep_until_some(statement_deadline), if statement_deadline.is_some() => {
                 self.handle_statement_deadline().await?;
             }
@@ -149,6 +153,7 @@
                     return Err(ConnectionEnd::Closed(CloseReason::ConnectionPressure));
                 }
             }
+            () = ready(()), if !may_read => {}
         }
         Ok(())
     }
@@ -161,15 +166,21 @@
         self.state.unread_turns <= MAX_UNREAD_TURNS && has_unread_bytes(&self.socket)
     }
 
-    /// Fails a message that is not complete in time, or closes a connection that has sent no request in time.
+    /// Handles a statement that is not complete in time, unless the socket has bytes that may complete it.
     async fn handle_statement_deadline(&mut self) -> Result<(), ConnectionEnd> {
-        if self.state.partial_since.is_some() {
-            self.fail_partial_message();
-        } else if !self.has_bytes_to_read() {
-            return Err(ConnectionEnd::Closed(CloseReason::FirstStatementTimeout));
-        } else {
+        if self.state.partial_since.is_none() && self.has_bytes_to_read() {
             yield_now().await;
+            return Ok(());
+        }
+        self.handle_overdue_statement()
+    }
+
+    /// Fails a message that is not complete in time, or closes a connection that has sent no request in time.
+    fn handle_overdue_statement(&mut self) -> Result<(), ConnectionEnd> {
+        if self.state.partial_since.is_none() {
+            return Err(ConnectionEnd::Closed(CloseReason::FirstStatementTimeout));
         }
+        self.fail_partial_message();
         Ok(())
     }
 
--- a/tests/sockets/storm.rs
+++ b/tests/sockets/storm.rs
@@ -1,14 +1,14 @@
 //! Clients that connect again at full speed, or never stop sending: the proxy's memory, its shutdown and its
 //! other clients must not depend on when they pause.
 
-use crate::scenario::{settings, SteppedScenario};
+use crate::scenario::{client_message, settings, SteppedScenario};
 use rstest::rstest;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use std::sync::Arc;
 use std::thread::{sleep, spawn, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Number of clients of a storm, of which each has one connection at a time.
 const CLIENTS: usize = 320;
@@ -18,6 +18,13 @@
 const MEMORY_LIMIT_KIB: u64 = 48 * 1024;
 /// Time that a client waits for the end of its connection.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time from connecting within which a client that sends no request gets an error or a close.
+const CLOSE_LIMIT: Duration = Duration::from_secs(3);
+/// A startup message that asks for encryption, which is answered by one byte.
+const ENCRYPTION_REQUEST: [u8; 8] = [0, 0, 0, 8, 4, 210, 22, 47];
+/// A Sync message, which is answered but requests nothing.
+const SYNC: [u8; 5] = [b'S', 0, 0, 0, 4];
+
 /// Behavior of the clients of a storm.
 #[derive(Clone, Copy, Debug)]
 enum Behavior {
@@ -126,3 +133,32 @@
     }
     storm.stop();
 }
+
+/// Sends `messages` without a pause, and returns how long the connection stayed open.
+fn flood(address: SocketAddr, first: &[u8], messages: &[u8]) -> Duration {
+    let connected_at = Instant::now();
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_write_timeout(Some(CLIENT_TIMEOUT)).unwrap();
+    let mut replies = stream.try_clone().unwrap();
+    let reader = spawn(move || {
+        replies.set_read_timeout(Some(CLIENT_TIMEOUT)).unwrap();
+        while matches!(replies.read(&mut [0; 4096]), Ok(1..)) {}
+    });
+    stream.write_all(first).unwrap();
+    while stream.write_all(messages).is_ok() && connected_at.elapsed() < 2 * CLOSE_LIMIT {}
+    let open_for = connected_at.elapsed();
+    drop(stream);
+    reader.join().unwrap();
+    open_for
+}
+
+/// Guards against deadlines that never fire while bytes keep arriving: a client that requests nothing keeps
+/// its connection.
+#[rstest]
+#[case::in_its_startup(&[], &ENCRYPTION_REQUEST)]
+#[case::in_an_open_session(&client_message("startup"), &SYNC)]
+fn a_client_that_floods_without_a_request_is_closed_in_time(#[case] first: &[u8], #[case] message: &[u8]) {
+    let steps = SteppedScenario::start_with_faults(&settings(), "");
+    let open_for = flood(steps.address(), first, &message.repeat(1000));
+    assert!(open_for < CLOSE_LIMIT, "open for {open_for:?}");
+}
