End an answer that never pauses at its completion timeout

Callers saw nothing of it, since their answer came from the final-reply timer; the attempt's task went on reading, its connection and permit stayed taken and the processor busy for as long as the host wrote.

Cause: the select polls the socket before the timer, and each poll of the attempt uses its cooperative budget up, so that the attempt's deadline behind it is not polled either.

Change: an answer that is still incomplete after a read past its completion timeout ends there, as on the timer.

Result: connection::tests::an_answer_that_never_pauses_ends_in_time on the code before: not ended after 1 s (0.25 s are allowed); passes in 0.25 s with the change.

--- a/src/net/upstream/connection.rs
+++ b/src/net/upstream/connection.rs
@@ -177,6 +177,10 @@
             if let Some(status) = self.dialect.read_answer(&mut self.read_buffer, exchange) {
                 return status;
             }
+            // While bytes keep arriving the timer below is never polled.
+            if complete_by.is_some_and(|complete_by| Instant::now() >= complete_by) {
+                return incomplete(exchange);
+            }
             tokio::select! {
                 biased;
                 result = self.stream.read_buf(&mut self.read_buffer) => match result {
@@ -186,17 +190,20 @@
                         complete_by.get_or_insert_with(|| Instant::now() + ANSWER_COMPLETION_TIMEOUT);
                     }
                 },
-                () = sleep_until_some(complete_by) => {
-                    if !exchange.has_result() {
-                        exchange.invalidate();
-                    }
-                    return ConnectionStatus::Unusable;
-                }
+                () = sleep_until_some(complete_by) => return incomplete(exchange),
             }
         }
     }
 }
 
+/// Ends the reading of an answer that is not complete in time; a result that it has brought counts.
+fn incomplete(exchange: &mut Exchange) -> ConnectionStatus {
+    if !exchange.has_result() {
+        exchange.invalidate();
+    }
+    ConnectionStatus::Unusable
+}
+
 fn connect_outcome(error: &io::Error) -> Outcome {
     if local_faults::is_local_fault(error) {
         Outcome::NotSent
@@ -211,3 +218,6 @@
         Protocol::Tds => Box::new(Tds::new()),
     }
 }
+
+#[cfg(test)]
+mod tests;
