Poll the expiry of idle host connections before the host actor's commands

Cause: commands can always be waiting while the core is busy; the expiry of idle connections came behind them.

Change: expiry and release come first; both are bounded by the number of idle connections.

--- a/src/net/upstream/host_actor.rs
+++ b/src/net/upstream/host_actor.rs
@@ -129,6 +129,12 @@
             let idle_expiry = self.idle.next_expiry(self.context.idle_timeout);
             tokio::select! {
                 biased;
+                // Polled first: there are always commands while the core is busy, but only so many idle
+                // connections.
+                () = sleep_until(idle_expiry.unwrap_or_else(Instant::now)), if idle_expiry.is_some() => {
+                    self.idle.close_oldest();
+                }
+                Ok(()) = release_idle.changed() => self.idle.close_all(),
                 Some(result) = self.tasks.join_next_with_id() => self.task_ended(result),
                 Ok(permit) = events.reserve(), if !self.outbox.is_empty() => {
                     if let Some(event) = self.outbox.pop_front() {
@@ -139,10 +145,6 @@
                     Some(command) => self.handle(command),
                     None => return,
                 },
-                () = sleep_until(idle_expiry.unwrap_or_else(Instant::now)), if idle_expiry.is_some() => {
-                    self.idle.close_oldest();
-                }
-                Ok(()) = release_idle.changed() => self.idle.close_all(),
             }
         }
     }
