Share the writes of sessions between the processes of one proxy

Cause: what a session has written was known only to the process that took the write. The old process served none stale, so it is neither the role nor the clock nor the check of answers (it has nothing to check against: the requirement was Any). The claim's floor at the new process's start is too weak: the old process goes on taking writes for seconds, some are in flight, and a session may write through the new process and read through the old one.

Each appends the progress of each attempt of a tracked write before the write is sent and before its client is answered, and reads what the others have appended before it decides on a session's read: one pread where there is no news. A region for each process holds the latest 4,096 records; each record carries the position by which all older commits were made, so that a reader which was overtaken raises a floor for all sessions. Files outlive their process: after a crash the next process reads what was acknowledged, and writes in flight count until they can no longer be committed. At a first start the log is empty and demands nothing. Key: the proxy's name and its first listener's address.

The decisions keep what they decide: Action::ShareWrite, Event::WriteShared and SharedWritesMissed; simulator and testbench ignore the action.

--- a/adapter/src/wire/actions.rs
+++ b/adapter/src/wire/actions.rs
@@ -37,7 +37,8 @@
             writeln!(reply, "drop_attempt\t{router}\t{}\t{attempt}", instance.request_name(*id))
         }
         // The protocol has no such message: in the simulator an attempt reaches its host at once.
-        Action::WithdrawAttempt { .. } => Ok(()),
+        // The protocol has no such messages.
+        Action::WithdrawAttempt { .. } | Action::ShareWrite(_) => Ok(()),
         Action::HealthCheck { host } => writeln!(reply, "check\t{router}\t{}", instance.host_name(*host)),
         Action::CloseIdleConnections { host } => {
             writeln!(reply, "let_go\t{router}\t{}", instance.host_name(*host))
--- a/crates/decisions/src/interface/action.rs
+++ b/crates/decisions/src/interface/action.rs
@@ -2,6 +2,7 @@
 
 use super::freshness::ReadRequirement;
 use super::id::{HostId, RequestId};
+use super::session_write::SessionWrite;
 use crate::time::{TimeDelta, Timestamp};
 
 /// A command to the caller, to be executed at the time of the event that caused it.
@@ -65,6 +66,9 @@
         /// The host.
         host: HostId,
     },
+    /// Tells the other processes of the same proxy of a session's write, before any action that follows and
+    /// before the write's client is answered.
+    ShareWrite(SessionWrite),
     /// Starts (`true`) or stops (`false`) watching the endpoint list.
     WatchEndpoints(bool),
     /// Fetches the complete endpoint list once.
--- a/crates/decisions/src/interface/event.rs
+++ b/crates/decisions/src/interface/event.rs
@@ -4,6 +4,7 @@
 use super::freshness::LogPosition;
 use super::id::{HostId, RequestId, SessionId};
 use super::outcome::Outcome;
+use super::session_write::SessionWrite;
 use crate::time::TimeDelta;
 
 /// A client's request on its arrival.
@@ -112,6 +113,11 @@
     },
     /// A timer set by [`Action::SetTimer`](super::Action::SetTimer) with this token fired.
     Timer(u64),
+    /// Another process of the same proxy tells of a session's write
+    /// ([`Action::ShareWrite`](super::Action::ShareWrite)).
+    WriteShared(SessionWrite),
+    /// Writes that other processes of the same proxy took were missed; all were committed by this position.
+    SharedWritesMissed(LogPosition),
     /// A message from another router arrived.
     PeerMessage {
         /// Index of the sender.
--- a/crates/decisions/src/interface/mod.rs
+++ b/crates/decisions/src/interface/mod.rs
@@ -8,6 +8,7 @@
 mod freshness;
 mod id;
 mod outcome;
+mod session_write;
 mod settings;
 
 pub use crate::time::{TimeDelta, Timestamp};
@@ -17,6 +18,7 @@
 pub use freshness::{Freshness, LogPosition, ReadRequirement};
 pub use id::{HostId, RequestId, SessionId};
 pub use outcome::Outcome;
+pub use session_write::{SessionWrite, WriteProgress};
 pub use settings::{
     Idempotency, KeyScope, LagPolicy, ListRole, LoadReports, RequestClass, Settings, SettingsError,
     SettingsProblem, SMALL_FLEET_MAX_ROUTERS,
--- a/crates/decisions/src/routing/dispatch.rs
+++ b/crates/decisions/src/routing/dispatch.rs
@@ -98,13 +98,14 @@
         // A role query to a host with a doubted role does not rely on that role.
         let relies_on_role = !hosts_check_reads && freshness::relies_on_role(host, requirement, self.now);
         host.circuit_breaker.record_attempt(self.now, outlier::BASE_EJECTION);
-        let (class, group) = (request.class, request.group);
+        let (class, group, deadline) = (request.class, request.group, request.deadline);
         let is_write = self.settings.classes[class].freshness == Freshness::Write;
         let is_tracked = self.settings.write_positions_tracked && is_write;
         let session = request.session.filter(|_| is_tracked);
         let tracked_write = session.map(|session| TrackedWrite { session, group });
         if let Some(write) = tracked_write.filter(|_| !hosts_check_reads) {
             self.sessions.write_sent(write.session, write.group, self.now);
+            self.share_sent_write(write, class, deadline, actions);
         }
         let sent_at = self.now;
         let attempt =
--- a/crates/decisions/src/routing/mod.rs
+++ b/crates/decisions/src/routing/mod.rs
@@ -19,6 +19,7 @@
 //! | How many attempts may a host have in flight? | `concurrency_limit` |
 //! | When is the health of a host checked? | `health_check` |
 //! | When are idle connections closed? | `idle_connections` |
+//! | Which writes of sessions are shared with other processes of the proxy? | `shared_writes` |
 //! | How does the state follow a correction of the hosts' clock? | `clock_shift` |
 //!
 //! A request is rejected on arrival if its class is unknown or `Admission::decide` sheds it. A waiting
@@ -45,6 +46,7 @@
 mod retry;
 mod role;
 mod selection;
+mod shared_writes;
 mod slow_start;
 
 use crate::interface::*;
@@ -147,6 +149,8 @@
             }
             Event::ClientDisconnected(id) => self.close_request(id, actions),
             Event::ResponseStarted { id, attempt } => self.on_response_started(id, attempt),
+            Event::WriteShared(write) => self.on_shared_write(&write),
+            Event::SharedWritesMissed(position) => self.on_shared_writes_missed(position),
             Event::PeerMessage { .. } => {}
             Event::Timer(_) => self.on_timer(actions),
         }
@@ -267,7 +271,7 @@
             Context { settings: &self.settings, now: self.now, hosts: &self.hosts, load: &self.load };
         self.connection_pressure.release_idle_connections(context, result, actions);
         let group = self.hosts.get(result.host).map(|host| host.group);
-        self.record_write_position(&attempt, result);
+        self.record_write_end(&attempt, result, actions);
         self.record_attempt_end(&attempt, result);
         if result.request_closed || result.outcome == Outcome::Ok {
             self.close_request(result.id, actions);
@@ -294,19 +298,6 @@
         }
     }
 
-    /// Records the commit position of a tracked write, or that it may still be committed because no response
-    /// came. A position ahead of the clock is capped at the latest plausible one, so that the session still
-    /// has to see its write.
-    fn record_write_position(&mut self, attempt: &Attempt, result: &AttemptResult) {
-        let Some(write) = attempt.tracked_write else { return };
-        let latest = LogPosition(freshness::latest_plausible_time(self.now).0);
-        let position = result.position.map(|position| position.min(latest));
-        let committed = position.filter(|_| result.outcome == Outcome::Ok);
-        let may_commit_until = self.now + self.settings.classes[attempt.class].deadline;
-        let may_commit_until = retry::may_have_executed(result.outcome).then_some(may_commit_until);
-        self.sessions.write_ended(write.session, write.group, committed, may_commit_until);
-    }
-
     /// Records the end of an attempt in its request, if that is still pending.
     fn record_attempt_end(&mut self, attempt: &Attempt, result: &AttemptResult) {
         let Some(request) = self.requests.get_mut(result.id) else { return };
--- a/crates/decisions/src/state/host_clock.rs
+++ b/crates/decisions/src/state/host_clock.rs
@@ -191,6 +191,11 @@
         LogPosition(self.to_local(Timestamp(position.0)).0)
     }
 
+    /// Converts the position of a commit back to the hosts' clock.
+    pub fn to_host_commit(&self, position: LogPosition) -> LogPosition {
+        LogPosition(position.0.saturating_add(self.offset.0))
+    }
+
     /// Returns whether positions reported by hosts show that the hosts' clock had passed `position`, which
     /// `host` reports, by more than `tolerance` when a query was written. A host that was the primary at that
     /// time does not respond to the query with such a position. A position ahead of this machine's clock
--- a/crates/decisions/src/state/session_positions.rs
+++ b/crates/decisions/src/state/session_positions.rs
@@ -103,6 +103,10 @@
     /// Position of the latest evicted commit of each replication group.
     eviction_floors: BTreeMap<u32, i64>,
     unconfirmed_writes: UnconfirmedWrites,
+    /// Unconfirmed writes that other processes of the same proxy took.
+    remote_unconfirmed_writes: UnconfirmedWrites,
+    /// Position up to which any session may have made a write that is not in the table.
+    floor: i64,
 }
 
 impl SessionPositions {
@@ -115,6 +119,8 @@
             entries_per_generation,
             eviction_floors: BTreeMap::new(),
             unconfirmed_writes: UnconfirmedWrites::default(),
+            remote_unconfirmed_writes: UnconfirmedWrites::default(),
+            floor: NO_POSITION,
         }
     }
 
@@ -164,7 +170,7 @@
     /// session.
     pub fn last_commit(&self, session: SessionId, group: u32) -> LogPosition {
         let known = self.generations.iter().find_map(|generation| generation.get(session.0));
-        known.map_or_else(|| self.eviction_floor(group), LogPosition)
+        known.map_or_else(|| self.eviction_floor(group), |position| LogPosition(position.max(self.floor)))
     }
 
     /// Records that an attempt of a session's write was sent to a group.
@@ -189,11 +195,38 @@
         self.unconfirmed_writes.write_ended(session, group, may_commit_until);
     }
 
+    /// Records that another process of the same proxy sent an attempt of a session's write to a group. The
+    /// write may commit until `until`, even if its end is never recorded.
+    pub fn remote_write_sent(&mut self, session: SessionId, group: u32, now: Timestamp, until: Timestamp) {
+        self.remote_unconfirmed_writes.write_sent_until(session, group, now, until);
+    }
+
+    /// Records the end of an attempt of a session's write by another process, as
+    /// [`write_ended`](Self::write_ended) does.
+    pub fn remote_write_ended(
+        &mut self,
+        session: SessionId,
+        group: u32,
+        commit: Option<LogPosition>,
+        may_commit_until: Option<Timestamp>,
+    ) {
+        if let Some(commit) = commit {
+            self.record_commit(session, group, commit);
+        }
+        self.remote_unconfirmed_writes.write_ended(session, group, may_commit_until);
+    }
+
+    /// Records that any session may have written up to `position` without an entry.
+    pub fn raise_floor(&mut self, position: LogPosition) {
+        self.floor = self.floor.max(position.0);
+    }
+
     /// Returns the position that the data for a read arriving at `now` must include. If a write of the
     /// session is unconfirmed, that is `now`, so that the read sees all commits before it.
     pub fn required_position(&self, session: Option<SessionId>, group: u32, now: Timestamp) -> LogPosition {
         let Some(session) = session else { return self.eviction_floor(group) };
-        if self.unconfirmed_writes.is_unconfirmed(session, group, now) {
+        let unconfirmed = [&self.unconfirmed_writes, &self.remote_unconfirmed_writes];
+        if unconfirmed.iter().any(|writes| writes.is_unconfirmed(session, group, now)) {
             return LogPosition(now.0);
         }
         self.last_commit(session, group)
@@ -203,11 +236,16 @@
     pub fn shift(&mut self, delta: TimeDelta) {
         self.generations.iter_mut().for_each(|generation| generation.shift(delta));
         self.eviction_floors.values_mut().for_each(|floor| *floor = floor.saturating_add(delta.0));
+        if self.floor != NO_POSITION {
+            self.floor = self.floor.saturating_add(delta.0);
+        }
     }
 
-    /// Returns the position of the latest evicted commit of a group, or the lowest position if there is none.
+    /// Returns the position of the latest commit in a group that is not in the table, or the lowest position
+    /// if there is none.
     pub fn eviction_floor(&self, group: u32) -> LogPosition {
-        LogPosition(self.eviction_floors.get(&group).copied().unwrap_or(NO_POSITION))
+        let evicted = self.eviction_floors.get(&group).copied().unwrap_or(NO_POSITION);
+        LogPosition(evicted.max(self.floor))
     }
 
     /// Returns the number of entries.
--- a/crates/decisions/src/state/unconfirmed_writes.rs
+++ b/crates/decisions/src/state/unconfirmed_writes.rs
@@ -16,13 +16,19 @@
 #[derive(Clone, Copy, Debug)]
 struct SessionWrites {
     in_flight_attempts: u32,
+    /// Time until which an attempt in flight may commit, even if its end is never recorded.
+    in_flight_until: Timestamp,
     /// Time until which an attempt that ended without a response may still commit.
     may_commit_until: Timestamp,
 }
 
 impl SessionWrites {
     fn is_unconfirmed(&self, now: Timestamp) -> bool {
-        self.in_flight_attempts > 0 || now < self.may_commit_until
+        self.has_in_flight(now) || now < self.may_commit_until
+    }
+
+    fn has_in_flight(&self, now: Timestamp) -> bool {
+        self.in_flight_attempts > 0 && now < self.in_flight_until
     }
 }
 
@@ -36,14 +42,26 @@
 }
 
 impl UnconfirmedWrites {
-    /// Records that an attempt of a session's write was sent to a group.
+    /// Records that an attempt of a session's write was sent to a group. Its end is always recorded.
     pub fn write_sent(&mut self, session: SessionId, group: u32, now: Timestamp) {
+        self.write_sent_until(session, group, now, Timestamp(i64::MAX));
+    }
+
+    /// Records that an attempt of a session's write was sent to a group. It may commit until `until`, after
+    /// which its end is not waited for.
+    pub fn write_sent_until(&mut self, session: SessionId, group: u32, now: Timestamp, until: Timestamp) {
         if self.sessions.len() > MIN_ENTRIES_TO_SWEEP.max(2 * self.entries_after_sweep) {
             self.sessions.retain(|_, writes| writes.is_unconfirmed(now));
             self.entries_after_sweep = self.sessions.len();
         }
-        let new = SessionWrites { in_flight_attempts: 0, may_commit_until: now };
-        self.sessions.entry((group, session)).or_insert(new).in_flight_attempts += 1;
+        let new = SessionWrites { in_flight_attempts: 0, in_flight_until: now, may_commit_until: now };
+        let writes = self.sessions.entry((group, session)).or_insert(new);
+        if !writes.has_in_flight(now) {
+            writes.in_flight_attempts = 0;
+            writes.in_flight_until = now;
+        }
+        writes.in_flight_attempts += 1;
+        writes.in_flight_until = writes.in_flight_until.max(until);
     }
 
     /// Records the end of an attempt. `may_commit_until` is `None` if a response arrived or the write was
--- a/crates/decisions/tests/routing/main.rs
+++ b/crates/decisions/tests/routing/main.rs
@@ -10,5 +10,6 @@
 mod role_doubt;
 mod role_evidence;
 mod rules;
+mod shared_writes;
 mod source_files;
 mod world;
--- a/crates/testbench/src/fleet.rs
+++ b/crates/testbench/src/fleet.rs
@@ -390,7 +390,7 @@
                 drop(self.proxies[router].idle.remove(&(host.0 as usize)))
             }
             // Attempts are never queued in the proxy here, so there is none to withdraw.
-            Action::WithdrawAttempt { .. } => {}
+            Action::WithdrawAttempt { .. } | Action::ShareWrite(_) => {}
             Action::Log(_) | Action::WatchEndpoints(_) | Action::FetchEndpoints => {}
         }
     }
--- a/src/config/descriptors.rs
+++ b/src/config/descriptors.rs
@@ -14,6 +14,8 @@
 /// Descriptors that are open only within one poll of a task: a connection that is closed as soon as it is
 /// accepted, or the file that is read at SIGHUP.
 const TRANSIENT_DESCRIPTORS: usize = 1;
+/// The session log and the lock on its region.
+const SESSION_LOG_DESCRIPTORS: usize = 2;
 /// Connections to discovery: concurrent calls, and the previous watch while it closes.
 const DISCOVERY_CONNECTIONS: usize = DiscoveryRetry::MAX_CONCURRENT_CALLS + 1;
 /// Client connections beyond the limit that get an answer with the reason instead of being closed unread.
@@ -25,6 +27,7 @@
     + RUNTIME_DESCRIPTORS
     + LISTENERS
     + TRANSIENT_DESCRIPTORS
+    + SESSION_LOG_DESCRIPTORS
     + DISCOVERY_CONNECTIONS
     + MAX_OVERFLOW_CONNECTIONS
     + MIN_CONSOLE_CONNECTIONS
--- a/src/net/core/actions.rs
+++ b/src/net/core/actions.rs
@@ -56,6 +56,7 @@
             Action::SetTimer { at, token } => {
                 self.timers.set_router_timer(self.clock.instant(at), token);
             }
+            Action::ShareWrite(write) => self.share_write(write),
             Action::Log(note) => tracing::info!(note, "router note"),
             // The discovery actor always keeps a watch open, so there is nothing to start or fetch.
             Action::WatchEndpoints(_) | Action::FetchEndpoints => {}
--- a/src/net/core/mod.rs
+++ b/src/net/core/mod.rs
@@ -4,6 +4,7 @@
 //! - `requests`: arrival, answer and end of a request
 //! - `attempts`: forwarding a request to a host and the end of an attempt
 //! - `positions`: conversion of the hosts' log positions and times to local time, and staleness checks
+//! - `shared_writes`: the writes of sessions that other processes of the proxy took
 //! - `host_registry`: the hosts, their ids and their actors
 //! - `endpoints`: endpoint lists from discovery
 //! - `timers`: the router's timers and the final reply of each request
@@ -16,12 +17,14 @@
 mod positions;
 mod request_table;
 mod requests;
+mod shared_writes;
 mod timers;
 
 use super::clock::Clock;
 use super::memory::Memory;
 use super::messages::{CoreEvent, HealthCheckResult};
 use super::rejections::Rejections;
+use super::session_log::SessionLog;
 use super::upstream::{LargeAnswers, UpstreamContext};
 use crate::config::Config;
 use crate::counters::Counters;
@@ -54,6 +57,8 @@
     pub rejections: Rejections,
     /// Accounts for the memory of requests.
     pub memory: Memory,
+    /// The log of session writes that the processes of this proxy share; `None` if they share none.
+    pub session_log: Option<SessionLog>,
 }
 
 /// The core actor. The module documentation lists its parts.
@@ -70,6 +75,7 @@
     counters: Arc<Counters>,
     rejections: Rejections,
     memory: Memory,
+    session_log: Option<SessionLog>,
     /// Reused buffer for the actions of one event; empty between events.
     actions: Vec<Action>,
     /// Events for the router that were caused by carrying out its actions.
@@ -82,7 +88,7 @@
     /// # Errors
     /// Returns an error if the settings contradict one another.
     pub fn new(config: Config, context: CoreContext) -> Result<Self, SettingsError> {
-        let CoreContext { clock, events, ready, counters, rejections, memory } = context;
+        let CoreContext { clock, events, ready, counters, rejections, memory, session_log } = context;
         let large_answers = LargeAnswers::new(memory.clone());
         let upstream =
             UpstreamContext::new(&config, Arc::clone(&counters), rejections.clone(), large_answers);
@@ -98,6 +104,7 @@
             counters,
             rejections,
             memory,
+            session_log,
             actions: Vec::new(),
             pending_events: VecDeque::new(),
         })
--- a/src/net/core/requests.rs
+++ b/src/net/core/requests.rs
@@ -31,6 +31,7 @@
         self.counters.request_accepted();
         match self.admit(&arrival.request) {
             Ok(memory_reservation) => {
+                self.follow_shared_writes(&arrival.request).await;
                 let request = self.insert_request(arrival, memory_reservation);
                 self.notify_router(Event::RequestArrived(request)).await;
             }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,7 @@
 //! - `discovery`, `json_stream`: the endpoint lists
 //! - `console`: the operators' HTTP console
 //! - `peers`: the other proxies of the fleet
+//! - `session_log`: the writes of sessions that all processes of this proxy share
 //! - `messages`, `stream`: the messages between actors, and the stream that carries a large answer
 //! - `memory`, `rejections`, `clock`: memory accounting, records of rejections and time, shared by the actors
 //! - `socket`, `local_faults`: TCP connections; retries of system calls that fail for lack of local resources
@@ -30,6 +31,7 @@
 mod proxy;
 pub(crate) mod rejections;
 mod serve;
+mod session_log;
 pub(crate) mod socket;
 pub(crate) mod stream;
 pub(crate) mod upstream;
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -9,6 +9,7 @@
 use super::messages::CoreEvent;
 use super::peers;
 use super::rejections::Rejections;
+use super::session_log::{self, SessionLog};
 use super::{Control, Proxy};
 use crate::config::Config;
 use crate::counters::Counters;
@@ -106,7 +107,8 @@
     let rejections = Rejections::new(Arc::clone(&counters), clock);
     let shared = Shared { clock, events, counters: Arc::clone(&counters), rejections, memory };
     let clients = shared.client_context(&config, &admin, current_settings, reclaimed);
-    let core = shared.core(&config, ready)?;
+    let session_log = open_session_log(&config, &listeners);
+    let core = shared.core(&config, ready, session_log)?;
     let console = console.map(|listener| {
         tokio::spawn(console::serve(listener, admin.clone(), config.limits.console_connections))
     });
@@ -146,6 +148,26 @@
     peers::start(listener, start).map(Some)
 }
 
+/// Opens the log of session writes, if the proxy tracks them. Returns `None` if it does not, or if the log is
+/// not available: then a session's reads see only the writes that this process took.
+fn open_session_log(config: &Config, listeners: &frontend::Listeners) -> Option<SessionLog> {
+    if !config.settings.write_positions_tracked {
+        return None;
+    }
+    let (_, address) = listeners.addresses().ok()?.into_iter().next()?;
+    let folder = session_log::path(&config.name, address);
+    match SessionLog::open(&folder) {
+        Ok(log) => {
+            tracing::info!(folder = %folder.display(), region = log.region(), "session log opened");
+            Some(log)
+        }
+        Err(error) => {
+            tracing::error!(folder = %folder.display(), %error, "session log not available");
+            None
+        }
+    }
+}
+
 impl Shared {
     fn client_context(
         &self,
@@ -171,7 +193,12 @@
         }
     }
 
-    fn core(&self, config: &Config, ready: watch::Sender<bool>) -> io::Result<Core> {
+    fn core(
+        &self,
+        config: &Config,
+        ready: watch::Sender<bool>,
+        session_log: Option<SessionLog>,
+    ) -> io::Result<Core> {
         let context = CoreContext {
             clock: self.clock,
             events: self.events.clone(),
@@ -179,6 +206,7 @@
             counters: Arc::clone(&self.counters),
             rejections: self.rejections.clone(),
             memory: self.memory.clone(),
+            session_log,
         };
         Core::new(config.clone(), context).map_err(io::Error::other)
     }
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -20,6 +20,7 @@
 mod reported_role;
 mod role;
 mod scenario;
+mod session_writes;
 mod storm;
 mod tds;
 mod upgrade;
