Let session reads see all commits beside a process that shares no writes

Cause: a process that does not share its writes looks like none.

Change: the core actor counts each 250 ms, and before its first event, the sockets that listen at the first listener's address and the processes that hold a lock of the log. If there are more sockets, a session's read has to see all commits up to its arrival, as after an unconfirmed write; once they are as many again, all up to then. Alone at its address a process only reads the head of /proc/net/tcp.

--- a/crates/decisions/src/interface/event.rs
+++ b/crates/decisions/src/interface/event.rs
@@ -118,6 +118,9 @@
     WriteShared(SessionWrite),
     /// Writes that other processes of the same proxy took were missed; all were committed by this position.
     SharedWritesMissed(LogPosition),
+    /// For this span from now on, another process of the same proxy may take writes of sessions without telling
+    /// of them.
+    UnsharedWrites(TimeDelta),
     /// A message from another router arrived.
     PeerMessage {
         /// Index of the sender.
--- a/crates/decisions/src/routing/mod.rs
+++ b/crates/decisions/src/routing/mod.rs
@@ -151,6 +151,7 @@
             Event::ResponseStarted { id, attempt } => self.on_response_started(id, attempt),
             Event::WriteShared(write) => self.on_shared_write(&write),
             Event::SharedWritesMissed(position) => self.on_shared_writes_missed(position),
+            Event::UnsharedWrites(span) => self.sessions.expect_unknown_writes(self.now, self.now + span),
             Event::PeerMessage { .. } => {}
             Event::Timer(_) => self.on_timer(actions),
         }
--- a/crates/decisions/src/state/session_positions.rs
+++ b/crates/decisions/src/state/session_positions.rs
@@ -107,6 +107,8 @@
     remote_unconfirmed_writes: UnconfirmedWrites,
     /// Position up to which any session may have made a write that is not in the table.
     floor: i64,
+    /// Time until which any session may make writes of which nothing is recorded.
+    unknown_writes_until: Timestamp,
 }
 
 impl SessionPositions {
@@ -121,6 +123,7 @@
             unconfirmed_writes: UnconfirmedWrites::default(),
             remote_unconfirmed_writes: UnconfirmedWrites::default(),
             floor: NO_POSITION,
+            unknown_writes_until: Timestamp(i64::MIN),
         }
     }
 
@@ -221,9 +224,19 @@
         self.floor = self.floor.max(position.0);
     }
 
+    /// Records that any session may write until `until` without an entry. Reads until then have to see all
+    /// commits, and later ones those up to `now`.
+    pub fn expect_unknown_writes(&mut self, now: Timestamp, until: Timestamp) {
+        self.raise_floor(LogPosition(now.0));
+        self.unknown_writes_until = self.unknown_writes_until.max(until);
+    }
+
     /// Returns the position that the data for a read arriving at `now` must include. If a write of the
     /// session is unconfirmed, that is `now`, so that the read sees all commits before it.
     pub fn required_position(&self, session: Option<SessionId>, group: u32, now: Timestamp) -> LogPosition {
+        if now < self.unknown_writes_until {
+            return LogPosition(now.0);
+        }
         let Some(session) = session else { return self.eviction_floor(group) };
         let unconfirmed = [&self.unconfirmed_writes, &self.remote_unconfirmed_writes];
         if unconfirmed.iter().any(|writes| writes.is_unconfirmed(session, group, now)) {
--- a/crates/decisions/tests/routing/shared_writes.rs
+++ b/crates/decisions/tests/routing/shared_writes.rs
@@ -125,6 +125,22 @@
     assert_eq!(required(&mut world), Some(later + 2 * MS));
 }
 
+/// Guards against reads beside a process that does not tell of its writes: any session may have written.
+#[test]
+fn reads_have_to_see_all_commits_while_another_process_tells_nothing() {
+    let mut world = world();
+    let span = TimeDelta(1_000 * MS);
+    world.event(Event::UnsharedWrites(span));
+    let told_at = world.now;
+    world.now += span.0 / 2;
+    assert_eq!(required(&mut world), Some(world.now));
+    world.now = told_at + span.0;
+    assert_eq!(required(&mut world), Some(told_at));
+    let ended_at = world.now;
+    world.event(Event::SharedWritesMissed(LogPosition(ended_at)));
+    assert_eq!(required(&mut world), Some(ended_at));
+}
+
 /// Guards against a write that is sent, or answered, before the other processes are told of it.
 #[test]
 fn each_attempt_of_a_write_is_told_before_it_is_sent_and_when_it_has_ended() {
--- a/src/net/core/mod.rs
+++ b/src/net/core/mod.rs
@@ -24,7 +24,6 @@
 use super::memory::Memory;
 use super::messages::{CoreEvent, HealthCheckResult};
 use super::rejections::Rejections;
-use super::session_log::SessionLog;
 use super::upstream::{LargeAnswers, UpstreamContext};
 use crate::config::Config;
 use crate::counters::Counters;
@@ -33,6 +32,7 @@
 use crate::Router;
 use host_registry::HostRegistry;
 use request_table::RequestTable;
+pub(crate) use shared_writes::SharedWrites;
 use std::collections::VecDeque;
 use std::future::Future;
 use std::sync::Arc;
@@ -57,8 +57,8 @@
     pub rejections: Rejections,
     /// Accounts for the memory of requests.
     pub memory: Memory,
-    /// The log of session writes that the processes of this proxy share; `None` if they share none.
-    pub session_log: Option<SessionLog>,
+    /// The exchange of session writes with other processes; `None` if the proxy does not track writes.
+    pub shared_writes: Option<SharedWrites>,
 }
 
 /// The core actor. The module documentation lists its parts.
@@ -75,7 +75,7 @@
     counters: Arc<Counters>,
     rejections: Rejections,
     memory: Memory,
-    session_log: Option<SessionLog>,
+    shared_writes: Option<SharedWrites>,
     /// Reused buffer for the actions of one event; empty between events.
     actions: Vec<Action>,
     /// Events for the router that were caused by carrying out its actions.
@@ -88,7 +88,7 @@
     /// # Errors
     /// Returns an error if the settings contradict one another.
     pub fn new(config: Config, context: CoreContext) -> Result<Self, SettingsError> {
-        let CoreContext { clock, events, ready, counters, rejections, memory, session_log } = context;
+        let CoreContext { clock, events, ready, counters, rejections, memory, shared_writes } = context;
         let large_answers = LargeAnswers::new(memory.clone());
         let upstream =
             UpstreamContext::new(&config, Arc::clone(&counters), rejections.clone(), large_answers);
@@ -104,7 +104,7 @@
             counters,
             rejections,
             memory,
-            session_log,
+            shared_writes,
             actions: Vec::new(),
             pending_events: VecDeque::new(),
         })
@@ -115,6 +115,7 @@
         if let Some(cached) = self.config.cached_endpoints.take() {
             self.update_endpoints(cached, EndpointUpdate::Cached).await;
         }
+        self.check_processes().await;
         loop {
             tokio::select! {
                 event = mailbox.recv() => match event {
@@ -132,6 +133,7 @@
         match event {
             ScheduledEvent::RouterTimer(token) => self.notify_router(Event::Timer(token)).await,
             ScheduledEvent::FinalReply(id) => self.send_final_reply(id).await,
+            ScheduledEvent::ProcessCheck => self.check_processes().await,
         }
     }
 
--- a/src/net/core/timers.rs
+++ b/src/net/core/timers.rs
@@ -20,6 +20,8 @@
     RouterTimer(u64),
     /// The request must be answered now, even if the router has not decided on it.
     FinalReply(RequestId),
+    /// The processes at this proxy's address are to be counted.
+    ProcessCheck,
 }
 
 impl ScheduledEvent {
@@ -28,6 +30,7 @@
         match self {
             Self::RouterTimer(_) => "router timer",
             Self::FinalReply(_) => "final reply",
+            Self::ProcessCheck => "process check",
         }
     }
 }
@@ -53,6 +56,11 @@
         FinalReplyTimer(self.queue.insert_at(ScheduledEvent::FinalReply(id), at))
     }
 
+    /// Sets the timer of the next count of processes.
+    pub fn set_process_check(&mut self, at: Instant) {
+        self.queue.insert_at(ScheduledEvent::ProcessCheck, at);
+    }
+
     /// Moves a final reply forward to `at` if it is due later. Returns whether it was.
     pub fn bring_forward(&mut self, timer: &FinalReplyTimer, at: Instant) -> bool {
         let is_later = self.queue.deadline(&timer.0) > at;
--- a/src/net/frontend/mod.rs
+++ b/src/net/frontend/mod.rs
@@ -27,7 +27,7 @@
 mod drain_report;
 mod fault;
 mod listeners;
-mod port_group;
+pub(in crate::net) mod port_group;
 mod postgres;
 mod request;
 mod tds;
--- a/src/net/frontend/port_group.rs
+++ b/src/net/frontend/port_group.rs
@@ -19,13 +19,13 @@
 
 /// The number of a member of a group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Member(pub u32);
+pub(in crate::net) struct Member(pub u32);
 
 /// Returns the members of the group at an address, the last one first.
 ///
 /// # Errors
 /// Returns an error if the kernel's table of sockets cannot be read.
-pub(super) fn members(address: SocketAddr) -> io::Result<impl Iterator<Item = Member>> {
+pub(in crate::net) fn members(address: SocketAddr) -> io::Result<impl Iterator<Item = Member>> {
     let table = if address.is_ipv4() { "/proc/net/tcp" } else { "/proc/net/tcp6" };
     let count = count_listening(BufReader::new(File::open(table)?), &proc_net_address(address))?;
     Ok((0..count).rev().map(Member))
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -2,7 +2,7 @@
 
 use super::clock::{record_drain_start, Clock};
 use super::console::{self, AdminState};
-use super::core::{Core, CoreContext};
+use super::core::{Core, CoreContext, SharedWrites};
 use super::discovery::Discovery;
 use super::frontend::{self, FrontendSettings};
 use super::memory::{Memory, Reclaim};
@@ -107,8 +107,8 @@
     let rejections = Rejections::new(Arc::clone(&counters), clock);
     let shared = Shared { clock, events, counters: Arc::clone(&counters), rejections, memory };
     let clients = shared.client_context(&config, &admin, current_settings, reclaimed);
-    let session_log = open_session_log(&config, &listeners);
-    let core = shared.core(&config, ready, session_log)?;
+    let shared_writes = share_writes(&config, &listeners)?;
+    let core = shared.core(&config, ready, shared_writes)?;
     let console = console.map(|listener| {
         tokio::spawn(console::serve(listener, admin.clone(), config.limits.console_connections))
     });
@@ -148,24 +148,19 @@
     peers::start(listener, start).map(Some)
 }
 
-/// Opens the log of session writes, if the proxy tracks them. Returns `None` if it does not, or if the log is
-/// not available: then a session's reads see only the writes that this process took.
-fn open_session_log(config: &Config, listeners: &frontend::Listeners) -> Option<SessionLog> {
-    if !config.settings.write_positions_tracked {
-        return None;
-    }
-    let (_, address) = listeners.addresses().ok()?.into_iter().next()?;
+/// Returns the exchange of session writes with other processes; `None` if the proxy does not track them.
+fn share_writes(config: &Config, listeners: &frontend::Listeners) -> io::Result<Option<SharedWrites>> {
+    let first = listeners.addresses()?.into_iter().next();
+    let Some((_, address)) = first.filter(|_| config.settings.write_positions_tracked) else {
+        return Ok(None);
+    };
     let folder = session_log::path(&config.name, address);
-    match SessionLog::open(&folder) {
-        Ok(log) => {
-            tracing::info!(folder = %folder.display(), region = log.region(), "session log opened");
-            Some(log)
-        }
-        Err(error) => {
-            tracing::error!(folder = %folder.display(), %error, "session log not available");
-            None
-        }
+    let log = SessionLog::open(&folder);
+    match &log {
+        Ok(log) => tracing::info!(folder = %folder.display(), region = log.region(), "session log opened"),
+        Err(error) => tracing::error!(folder = %folder.display(), %error, "session log not available"),
     }
+    Ok(Some(SharedWrites::new(log.ok(), address)))
 }
 
 impl Shared {
@@ -197,7 +192,7 @@
         &self,
         config: &Config,
         ready: watch::Sender<bool>,
-        session_log: Option<SessionLog>,
+        shared_writes: Option<SharedWrites>,
     ) -> io::Result<Core> {
         let context = CoreContext {
             clock: self.clock,
@@ -206,7 +201,7 @@
             counters: Arc::clone(&self.counters),
             rejections: self.rejections.clone(),
             memory: self.memory.clone(),
-            session_log,
+            shared_writes,
         };
         Core::new(config.clone(), context).map_err(io::Error::other)
     }
--- a/src/net/session_log/mod.rs
+++ b/src/net/session_log/mod.rs
@@ -17,10 +17,10 @@
 
 use crate::interface::{LogPosition, SessionWrite, WriteProgress};
 use record::{Record, RECORD_BYTES};
-use std::fs::File;
+use std::fs::{File, TryLockError};
 use std::io;
 use std::os::unix::fs::FileExt;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::{SystemTime, UNIX_EPOCH};
 
 pub(crate) use folder::path;
@@ -52,6 +52,7 @@
 /// The log, as one process appends to it and reads it.
 #[derive(Debug)]
 pub(crate) struct SessionLog {
+    folder: PathBuf,
     file: File,
     /// The lock on this process's region, held until this value is dropped.
     _lock: File,
@@ -80,6 +81,7 @@
         let file = folder::open_file(&folder.join(FILE_NAME))?;
         let (region, lock) = lock_region(folder)?;
         let mut log = Self {
+            folder: folder.to_owned(),
             file,
             _lock: lock,
             region,
@@ -101,6 +103,14 @@
         self.region
     }
 
+    /// Returns the number of other processes that share the log now.
+    ///
+    /// # Errors
+    /// Returns an error if the lock of a region cannot be examined.
+    pub fn other_processes(&self) -> io::Result<usize> {
+        count_others(&self.folder, self.region)
+    }
+
     /// Appends a write of this process. Positions are on the hosts' clock. Other processes that read the log
     /// from now on see the record.
     ///
@@ -187,14 +197,36 @@
     }
 }
 
+/// Returns the number of other processes that share the log.
+///
+/// # Errors
+/// Returns an error if the lock of a region cannot be examined.
+fn count_others(folder: &Path, own_region: usize) -> io::Result<usize> {
+    let mut others = 0;
+    for region in (0..MAX_PROCESSES).filter(|region| *region != own_region) {
+        match File::open(folder.join(lock_name(region))) {
+            Ok(file) => {
+                others += usize::from(matches!(file.try_lock_shared(), Err(TryLockError::WouldBlock)))
+            }
+            Err(error) if error.kind() == io::ErrorKind::NotFound => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(others)
+}
+
+fn lock_name(region: usize) -> String {
+    format!("region-{region}.lock")
+}
+
 /// Takes the lock of the first region that no process holds. Returns its index and the locked file.
 fn lock_region(folder: &Path) -> io::Result<(usize, File)> {
     for region in 0..MAX_PROCESSES {
-        let file = folder::open_file(&folder.join(format!("region-{region}.lock")))?;
+        let file = folder::open_file(&folder.join(lock_name(region)))?;
         match file.try_lock() {
             Ok(()) => return Ok((region, file)),
-            Err(std::fs::TryLockError::WouldBlock) => {}
-            Err(std::fs::TryLockError::Error(error)) => return Err(error),
+            Err(TryLockError::WouldBlock) => {}
+            Err(TryLockError::Error(error)) => return Err(error),
         }
     }
     Err(io::Error::new(io::ErrorKind::ResourceBusy, "too many processes share the log"))
--- a/tests/sockets/scenario/mod.rs
+++ b/tests/sockets/scenario/mod.rs
@@ -65,7 +65,8 @@
 //! proxy expect log WORDS       a log line that contains all the words
 //! proxy expect figures WORDS   the counters reach these values
 //! proxy expect descriptors N   the process never held more than N file descriptors nor ran out of them
-//! new send start               starts a second program at the same addresses, with its own console
+//! new send start [apart]       starts a second program at the same addresses, with its own console;
+//!                              `apart` gives it another temporary folder, so that nothing is shared there
 //! new send SIGNAL;  new expect exit CODE | log WORDS
 //! silent send N                opens this many connections to the console that send nothing
 //! operator send health | stats | quiesce | resume   a call to the console
@@ -949,10 +950,13 @@
                 self.silent_console_connections.extend(connections);
             }
             ("o", "send") => self.console_response = self.call_console(args),
-            ("n", "send") if args == "start" => {
+            ("n", "send") if matches!(args, "start" | "start apart") => {
                 let console = free_local_address().to_string();
                 let (listen, discovery) = (self.listen.to_string(), self.discovery.address.to_string());
-                let env = [("GW_CONSOLE", &console[..])];
+                let own_folder = state_folder(&listen).join("apart");
+                std::fs::create_dir_all(&own_folder).unwrap();
+                let mut env = vec![("GW_CONSOLE", &console[..])];
+                env.extend((args == "start apart").then(|| ("TMPDIR", own_folder.to_str().unwrap())));
                 self.second_program =
                     Some(Program::start_with_env(&self.config, &listen, &discovery, None, &env, None));
             }
--- a/tests/sockets/session_writes.rs
+++ b/tests/sockets/session_writes.rs
@@ -88,11 +88,16 @@
         self.play(&"h1 expect FROM kv\n".repeat(reads.len()));
     }
 
-    /// Starts the second process and connects its clients to it.
+    /// Starts the second process.
     fn start_second(&mut self) {
         self.play("new send start\nnew expect log console listener");
     }
 
+    /// Starts a second process that shares no writes with the first one, which notices that.
+    fn start_second_apart(&mut self) {
+        self.play("new send start apart\nproxy expect log shares no writes\nnew expect log shares no writes");
+    }
+
     /// The first process, told to end, hands its listener over; its clients stay connected for a while.
     fn hand_over(&mut self) {
         self.play("proxy send TERM\nproxy expect log listener handed over");
@@ -162,6 +167,29 @@
     sessions.read_at_primary(SECOND, "k");
 }
 
+/// Guards against an upgrade from or to a version that shares no writes, and against a log that is not
+/// available: each process has to expect that the other one takes any write.
+#[test]
+fn reads_beside_a_process_that_shares_nothing_see_all_commits() {
+    let mut sessions = Sessions::start();
+    sessions.connect(FIRST);
+    sessions.start_second_apart();
+    sessions.hand_over();
+    sessions.write(FIRST, "k");
+    sessions.read_at_primary(SECOND, "k");
+}
+
+/// As above, for the first process.
+#[test]
+fn a_process_notices_that_another_one_shares_nothing() {
+    let mut sessions = Sessions::start();
+    sessions.connect(FIRST);
+    sessions.start_second_apart();
+    sessions.hand_over();
+    sessions.write(SECOND, "k");
+    sessions.read_at_primary(FIRST, "k");
+}
+
 /// Guards against a cost for sessions of which nothing is known, as after a first start: any host may serve
 /// their reads, also h2.
 #[test]
