Give the proxies of the testbench temporary folders of their own

Cause: processes of one proxy share a log in the temporary folder, so proxies of tests at reused ports would read what earlier runs left, and leave their own. Change: the folder is a field of Config ($TMPDIR by default); the rig, the soak and the fleets set and remove one. A process of the soak keeps its folder over a restart.

--- a/crates/testbench/src/processes.rs
+++ b/crates/testbench/src/processes.rs
@@ -196,6 +196,7 @@
             .args(["proxy", "--log", "json", "--operator"])
             .arg(self.config_path(n, "yaml"))
             .env("GW_CONFIG", self.config_path(n, "json"))
+            .env("TMPDIR", &self.directory)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
--- a/crates/testbench/src/rig.rs
+++ b/crates/testbench/src/rig.rs
@@ -4,6 +4,8 @@
 use crate::{runtime, TestbenchError};
 use serde_json::json;
 use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use tokio::sync::{mpsc, oneshot};
@@ -49,7 +51,24 @@
     /// The proxy's memory budget.
     pub budget: Budget,
     control: mpsc::Sender<Control>,
-    thread: JoinHandle<std::io::Result<()>>,
+    /// The thread; `None` once it was joined.
+    thread: Option<JoinHandle<std::io::Result<()>>>,
+    temporary_folder: PathBuf,
+}
+
+impl Drop for ProxyThread {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.temporary_folder);
+    }
+}
+
+/// Creates a folder for the files of one proxy.
+fn new_folder() -> std::io::Result<PathBuf> {
+    static FOLDERS: AtomicU64 = AtomicU64::new(0);
+    let number = FOLDERS.fetch_add(1, Relaxed);
+    let folder = std::env::temp_dir().join(format!("wheelpier-lab-{}-{number}", std::process::id()));
+    std::fs::create_dir_all(&folder)?;
+    Ok(folder)
 }
 
 impl Rig {
@@ -66,7 +85,8 @@
         });
         let operator =
             OperatorSettings::read(&operator_settings(spec.host_type), "the test bench's operator settings")?;
-        let config = Config::read(&config.to_string(), |_| None)?.with_operator(operator)?;
+        let mut config = Config::read(&config.to_string(), |_| None)?.with_operator(operator)?;
+        config.temporary_folder = new_folder()?;
         let proxy = ProxyThread::start(config).await?;
         Ok(Self { clock, installation, proxy })
     }
@@ -86,6 +106,7 @@
     async fn start(config: Config) -> Result<Self, TestbenchError> {
         let (control, control_messages) = mpsc::channel(4);
         let (bound, started) = oneshot::channel();
+        let temporary_folder = config.temporary_folder.clone();
         let thread = std::thread::spawn(move || {
             runtime()?.block_on(async {
                 let proxy = Proxy::bind(config).await?;
@@ -94,13 +115,17 @@
             })
         });
         let (addresses, counters, budget) = started.await.map_err(|_| TestbenchError::Ended)?;
-        Ok(Self { addresses, counters, budget, control, thread })
+        Ok(Self { addresses, counters, budget, control, thread: Some(thread), temporary_folder })
+    }
+
+    fn join(mut self) -> std::thread::Result<std::io::Result<()>> {
+        self.thread.take().map_or(Ok(Ok(())), JoinHandle::join)
     }
 
     /// Drains the proxy and waits for its end.
     pub async fn end(self) -> Result<(), TestbenchError> {
         let _ = self.control.send(Control::Drain).await;
-        let ended = tokio::task::spawn_blocking(move || self.thread.join()).await;
+        let ended = tokio::task::spawn_blocking(move || self.join()).await;
         match ended {
             Ok(Ok(ended)) => Ok(ended?),
             _ => Err(TestbenchError::Ended),
--- a/crates/testbench/src/soak/mod.rs
+++ b/crates/testbench/src/soak/mod.rs
@@ -314,6 +314,7 @@
         }
     }
     for config in process_configs {
+        let _ = std::fs::remove_dir_all(config.temporary_folder());
         let _ = std::fs::remove_file(config.config_file);
     }
     Ok((findings, logs))
@@ -348,6 +349,7 @@
         let name = format!("wheelpier-soak-{}-{}-{n}.json", std::process::id(), addresses[0].port());
         let file = std::env::temp_dir().join(name);
         std::fs::write(&file, config.to_string())?;
+        std::fs::create_dir_all(file.with_extension("tmp"))?;
         Ok(ProcessConfig {
             program: program.clone(),
             fault_library: library.clone(),
--- a/crates/testbench/src/soak/process.rs
+++ b/crates/testbench/src/soak/process.rs
@@ -52,6 +52,13 @@
     pub log_file: Option<PathBuf>,
 }
 
+impl ProcessConfig {
+    /// Returns the folder for the process's temporary files, which outlives a restart.
+    pub fn temporary_folder(&self) -> PathBuf {
+        self.config_file.with_extension("tmp")
+    }
+}
+
 /// Returns the path of the fault library beside the executable or in its `deps` folder, if it was built.
 pub fn fault_library(program: &Path) -> Option<PathBuf> {
     let name = "libwheelpier_faults.so";
@@ -69,6 +76,7 @@
         let mut child = Command::new(&config.program)
             .arg("proxy")
             .env("GW_CONFIG", &config.config_file)
+            .env("TMPDIR", config.temporary_folder())
             .env("GW_CONSOLE", config.console.to_string())
             .env("GW_DISCOVERY", config.discovery.to_string())
             .env("LD_PRELOAD", &config.fault_library)
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -56,6 +56,8 @@
     pub console: Option<SocketAddr>,
     /// Seed of the router's random number generator.
     pub seed: u64,
+    /// Folder of the files that the processes of this proxy share (`$TMPDIR`, or else `/tmp`).
+    pub temporary_folder: PathBuf,
     /// Number of descriptors that the process may hold.
     sockets: usize,
     /// Largest number of connections of each kind.
--- a/src/config/read.rs
+++ b/src/config/read.rs
@@ -64,6 +64,7 @@
             plan,
             operator: OperatorSettings::default(),
             cached_endpoints,
+            temporary_folder: std::env::temp_dir(),
             settings,
             report_format,
             names,
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -154,7 +154,7 @@
     let Some((_, address)) = first.filter(|_| config.settings.write_positions_tracked) else {
         return Ok(None);
     };
-    let folder = session_log::path(&config.name, address);
+    let folder = session_log::path(&config.temporary_folder, &config.name, address);
     let log = SessionLog::open(&folder);
     match &log {
         Ok(log) => tracing::info!(folder = %folder.display(), region = log.region(), "session log opened"),
--- a/src/net/session_log/folder.rs
+++ b/src/net/session_log/folder.rs
@@ -14,13 +14,13 @@
 /// Maximum number of characters of the proxy's name in the folder's name.
 const MAX_NAME_LENGTH: usize = 64;
 
-/// Returns the folder of the log of the proxy with this name at this address: the processes of one proxy have
-/// both in common.
-pub(crate) fn path(name: &str, address: SocketAddr) -> PathBuf {
+/// Returns the folder within `parent` for the log of the proxy with this name at this address: the processes
+/// of one proxy have all three in common.
+pub(crate) fn path(parent: &Path, name: &str, address: SocketAddr) -> PathBuf {
     let plain = |c: char| if c.is_ascii_alphanumeric() { c } else { '_' };
     let name: String = name.chars().take(MAX_NAME_LENGTH).map(plain).collect();
     let address: String = address.to_string().chars().map(plain).collect();
-    std::env::temp_dir().join(format!("wheelpier-{name}-{address}"))
+    parent.join(format!("wheelpier-{name}-{address}"))
 }
 
 /// Creates the folder unless it exists.
