--- a/src/net/core/shared_writes.rs
+++ b/src/net/core/shared_writes.rs
@@ -68,8 +68,14 @@
     pub(super) async fn follow_shared_writes(&mut self, request: &Request) {
         let class = self.config.settings.classes.get(request.class);
         let depends_on_session = class.is_some_and(|class| class.freshness == Freshness::Session);
-        let shared = self.shared_writes.as_mut().filter(|_| depends_on_session);
-        let Some(log) = shared.and_then(|shared| shared.log.as_mut()) else { return };
+        if depends_on_session {
+            self.read_shared_writes().await;
+        }
+    }
+
+    /// Notifies the router of what other processes have written since the last call.
+    async fn read_shared_writes(&mut self) {
+        let Some(log) = self.shared_writes.as_mut().and_then(|shared| shared.log.as_mut()) else { return };
         let mut entries = Vec::new();
         if let Err(error) = log.read_new(&mut entries) {
             tracing::error!(%error, "writes of other processes could not be read");
@@ -95,8 +101,10 @@
     }
 
     /// Counts the processes at the proxy's address, notifies the router if one of them shares no writes, and
-    /// sets the timer for the next count. Does nothing if the proxy does not track writes.
+    /// sets the timer for the next count. Reads the log too, so that no read has to catch up with much of it.
+    /// Does nothing if the proxy does not track writes.
     pub(super) async fn check_processes(&mut self) {
+        self.read_shared_writes().await;
         let Some(shared) = &mut self.shared_writes else { return };
         let has_unshared = shared.find_unshared().unwrap_or_else(|error| {
             tracing::debug!(%error, "processes at the address not counted");
