Answer the operators' calls in time beside hundreds of callers that say nothing

Callers saw: with 320 silent callers that come again at once a call to the console waited 12.6 s; it is due within 1 s.

Cause: each wait for a free place took the whole 10 ms, however old the oldest connection was, and callers that had given up stayed in the queue behind it. And the queue held 128 connections: a call that finds it full is repeated by its system after 1 s, then 2 s.

Change: the oldest connection is closed once it is 10 ms old, without a further wait; the queue holds 1,024 connections.

The committed test has 200 callers.

--- a/src/net/console/mod.rs
+++ b/src/net/console/mod.rs
@@ -10,6 +10,7 @@
 mod admin_state;
 mod call;
 
+use super::clock::sleep_until_some;
 use super::local_faults::{retry_local_faults, PROCESS_STARTUP_TIMEOUT};
 use super::socket::Socket;
 pub(crate) use admin_state::AdminState;
@@ -24,7 +25,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{sleep, timeout, Instant};
 
@@ -33,9 +34,12 @@
 const HEAD_TIMEOUT: Duration = Duration::from_millis(800);
 /// The maximum duration of a connection, whatever the client does.
 const CONNECTION_TIMEOUT: Duration = Duration::from_millis(950);
-/// Time that the next client waits while the maximum number of connections is open, before the oldest one is
-/// closed. A complete call takes much less, so clients that send nothing cannot lock others out.
-const EVICTION_DELAY: Duration = Duration::from_millis(10);
+/// Age from which the oldest connection is closed while the maximum number is open and others wait. A complete
+/// call takes much less, so clients that send nothing cannot lock others out, however many they are.
+const EVICTION_AGE: Duration = Duration::from_millis(10);
+/// Maximum number of connections in the accept queue. A call that finds it full is repeated by the caller's
+/// system after 1 s only, when its answer is overdue.
+const BACKLOG: u32 = 1024;
 /// Pause in accepting after accept(2) has failed.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(10);
 
@@ -45,11 +49,18 @@
 /// Returns an error if the address cannot be bound.
 pub(crate) async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     let until = Instant::now() + PROCESS_STARTUP_TIMEOUT;
-    let listener = retry_local_faults(until, || TcpListener::bind(address)).await;
+    let listener = retry_local_faults(until, || async { listen(address) }).await;
     let listener = listener.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()));
     listener.map_err(|error| io::Error::new(error.kind(), format!("console {address}: {error}")))
 }
 
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Serves connections until the task is aborted, at most `max_connections` at once, since each takes a file
 /// descriptor.
 pub(crate) async fn serve(listener: TcpListener, state: AdminState, max_connections: usize) {
@@ -75,25 +86,36 @@
 #[derive(Debug, Default)]
 struct Connections {
     tasks: JoinSet<()>,
-    /// The handles of the tasks, the oldest first. Finished tasks may be among them.
-    handles: VecDeque<AbortHandle>,
+    /// The handles of the tasks with the times of their start, the oldest first. Finished tasks may be among
+    /// them.
+    handles: VecDeque<(Instant, AbortHandle)>,
 }
 
 impl Connections {
     fn start(&mut self, stream: TcpStream, state: AdminState) {
-        self.handles.retain(|handle| !handle.is_finished());
-        self.handles.push_back(self.tasks.spawn(serve_connection(stream, state)));
+        self.remove_finished();
+        self.handles.push_back((Instant::now(), self.tasks.spawn(serve_connection(stream, state))));
     }
 
-    /// Waits for a connection to end, and closes the oldest if none does within [`EVICTION_DELAY`].
+    /// Waits for a connection to end, and closes the oldest if none does until it has reached
+    /// [`EVICTION_AGE`].
     async fn wait_or_evict(&mut self) {
-        if timeout(EVICTION_DELAY, self.tasks.join_next()).await.is_err() {
-            self.handles.retain(|handle| !handle.is_finished());
-            if let Some(oldest) = self.handles.pop_front() {
-                oldest.abort();
+        self.remove_finished();
+        let evict_at = self.handles.front().map(|(started_at, _)| *started_at + EVICTION_AGE);
+        tokio::select! {
+            biased;
+            _ = self.tasks.join_next() => {}
+            () = sleep_until_some(evict_at) => {
+                if let Some((_, oldest)) = self.handles.pop_front() {
+                    oldest.abort();
+                }
             }
         }
     }
+
+    fn remove_finished(&mut self) {
+        self.handles.retain(|(_, handle)| !handle.is_finished());
+    }
 }
 
 /// Serves one call and closes its connection, after [`CONNECTION_TIMEOUT`] at the latest.
--- a/tests/sockets/scenario/mod.rs
+++ b/tests/sockets/scenario/mod.rs
@@ -1352,6 +1352,12 @@
         self.0.listen
     }
 
+    /// Returns the address of the console, which listens already.
+    pub fn console_address(&self) -> SocketAddr {
+        drop(self.0.connect_to_console());
+        self.0.console
+    }
+
     /// Returns the address for clients that speak TDS.
     pub fn tds_address(&self) -> SocketAddr {
         self.0.listen_tds
--- a/tests/sockets/storm.rs
+++ b/tests/sockets/storm.rs
@@ -12,6 +12,8 @@
 
 /// Number of clients of a storm, of which each has one connection at a time.
 const CLIENTS: usize = 320;
+/// Number of callers of a storm at the console.
+const CALLERS: usize = 200;
 /// Duration of a storm during which memory is measured.
 const STORM: Duration = Duration::from_secs(8);
 /// The memory limit of the operators' smallest deployments, in KiB. The proxy is killed above its limit.
@@ -20,6 +22,8 @@
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time from connecting within which a client that sends no request gets an error or a close.
 const CLOSE_LIMIT: Duration = Duration::from_secs(3);
+/// Time within which each call to the console is answered.
+const CONSOLE_LIMIT: Duration = Duration::from_secs(1);
 /// A startup message that asks for encryption, which is answered by one byte.
 const ENCRYPTION_REQUEST: [u8; 8] = [0, 0, 0, 8, 4, 210, 22, 47];
 /// A Sync message, which is answered but requests nothing.
@@ -52,7 +56,7 @@
 }
 
 impl Storm {
-    fn start(address: SocketAddr, behavior: Behavior) -> Self {
+    fn start(address: SocketAddr, behavior: Behavior, clients: usize) -> Self {
         let (stop, connections) = (Arc::<AtomicBool>::default(), Arc::<AtomicUsize>::default());
         let client = |_| {
             let (stop, connections) = (Arc::clone(&stop), Arc::clone(&connections));
@@ -63,7 +67,7 @@
                 }
             })
         };
-        let clients = (0..CLIENTS).map(client).collect();
+        let clients = (0..clients).map(client).collect();
         Self { stop, connections, clients }
     }
 
@@ -82,7 +86,7 @@
     #[values(Behavior::Garbage, Behavior::Silent)] behavior: Behavior,
 ) {
     let steps = SteppedScenario::start_with_faults(&settings(), "");
-    let storm = Storm::start(steps.address(), behavior);
+    let storm = Storm::start(steps.address(), behavior, CLIENTS);
     sleep(STORM);
     let peak = steps.peak_memory_kib();
     let connections = storm.stop();
@@ -97,7 +101,7 @@
     #[values(Behavior::Garbage, Behavior::Silent)] behavior: Behavior,
 ) {
     let mut steps = SteppedScenario::start_with_faults(&settings(), "");
-    let storm = Storm::start(steps.address(), behavior);
+    let storm = Storm::start(steps.address(), behavior, CLIENTS);
     sleep(Duration::from_secs(1));
     steps.play("proxy send TERM\nproxy expect exit 0 by 3700");
     storm.stop();
@@ -111,7 +115,7 @@
 ) {
     let mut steps = SteppedScenario::start_with_faults(&settings(), "");
     steps.play("new send start\nnew expect log console listener");
-    let storm = Storm::start(steps.address(), behavior);
+    let storm = Storm::start(steps.address(), behavior, CLIENTS);
     sleep(Duration::from_secs(1));
     steps.play("proxy send TERM\nproxy expect log listener handed over\nproxy expect exit 0 by 3700");
     storm.stop();
@@ -123,7 +127,7 @@
 fn requests_are_served_while_silent_clients_keep_coming() {
     let mut steps = SteppedScenario::start_with_faults(&settings(), "");
     steps.play("h1 send serve 5 10\nc1 start\nc1 send read a 2900\nc1 expect value vvvvvvvvvv");
-    let storm = Storm::start(steps.address(), Behavior::Silent);
+    let storm = Storm::start(steps.address(), Behavior::Silent, CLIENTS);
     sleep(Duration::from_secs(1));
     for number in 0..10 {
         steps.play(&format!("c1 send read b{number} 2900\nc1 expect within 1000 value vvvvvvvvvv"));
@@ -134,6 +138,26 @@
     storm.stop();
 }
 
+/// Guards against callers that come without a pause and keep the operators' calls from an answer, which is due
+/// within 1 s, or whose ended connections fill memory.
+#[rstest]
+fn the_console_answers_while_callers_keep_coming(
+    #[values(Behavior::Garbage, Behavior::Silent)] behavior: Behavior,
+) {
+    let mut steps = SteppedScenario::start_with_faults(&settings(), "");
+    let storm = Storm::start(steps.console_address(), behavior, CALLERS);
+    sleep(Duration::from_secs(1));
+    for _ in 0..10 {
+        let called_at = Instant::now();
+        steps.play("operator send stats\noperator expect gw.outstanding=0");
+        assert!(called_at.elapsed() < CONSOLE_LIMIT, "{:?}", called_at.elapsed());
+        sleep(Duration::from_millis(300));
+    }
+    let peak = steps.peak_memory_kib();
+    let connections = storm.stop();
+    assert!(peak < MEMORY_LIMIT_KIB, "{peak} KiB after {connections} connections");
+}
+
 /// Sends `messages` without a pause, and returns how long the connection stayed open.
 fn flood(address: SocketAddr, first: &[u8], messages: &[u8]) -> Duration {
     let connected_at = Instant::now();
