Fill 21 client slots, not 22, in the socket tests that take all of them

Its log: `request or connection rejected reason=seat cause=all client connection slots are taken` 0.26 s after the start, for c1's request: all 22 connections were accepted before the first client's actor ran, which then saw more clients than slots.

Change: both tests take 21, as their comments say of the slots; comments of two more state 21. Demands are the same.

--- a/tests/sockets/crossing.rs
+++ b/tests/sockets/crossing.rs
@@ -18,12 +18,12 @@
     })
 }
 
-/// All 22 client connection slots are taken. The oldest client that has not sent a request is evicted for the
+/// All 21 client connection slots are taken. The oldest client that has not sent a request is evicted for the
 /// next one.
 #[test]
 fn a_request_beside_the_eviction_of_its_client() {
     let text = "
-        c1-22 start
+        c1-21 start
         wait 250                            # clients that send nothing for 200 ms may be evicted
         proxy send STOP
         c1 send read q1 2900
--- a/tests/sockets/proxy.rs
+++ b/tests/sockets/proxy.rs
@@ -162,7 +162,7 @@
 #[case::idle_clients_are_evicted_before_others_are_rejected(
     1,
     "
-    c1-18 send startup                  # of 22 client connection slots
+    c1-18 send startup                  # of 21 client connection slots
     c1-18 expect ready
     c1-18 send text
     c1-18 expect empty
@@ -178,7 +178,7 @@
 #[case::many_silent_clients_take_no_other_clients_slot(
     1,
     "
-    c1-40 send raw 00                   # 64 descriptors leave 22 for clients
+    c1-40 send raw 00                   # 64 descriptors leave 21 for clients
     c41 send startup
     c41 expect within 500 ready
     h1 serve c41 read q1 900 = x primary"
@@ -350,18 +350,18 @@
 #[case::clients_over_the_limit_are_rejected_with_an_error(
     1,
     "
-    c1-22 send startup                  # 64 descriptors leave 22 for clients
-    c1-22 expect ready
+    c1-21 send startup                  # 64 descriptors leave 21 for clients
+    c1-21 expect ready
     c23 start
     c23 send read q1 900
     c23 expect error 53300 500
     c23 expect closed
-    c1-22 send text
-    c1-22 expect empty
+    c1-21 send text
+    c1-21 expect empty
     wait 2050
     c24 send startup                    # the others have been idle for long and are evicted
     c24 expect ready
-    c1-22 expect closed
+    c1-21 expect closed
     h1 serve c24 read q2 900 = x primary"
 )]
 #[case::an_excessive_deadline_is_accepted(
