Use one hash, one record of a commit and one guard where the change had written a second

Cause: a last read of the whole change. The session log's checksum repeated the FNV-1a hash of SessionId::of; SessionPositions::remote_write_ended repeated the first half of write_ended; the startup's deadline was folded out of an option and asked twice whether a drain is in force; the testbench's proxy kept its thread in an option only because the thread's owner removed a folder; the soak built its folder's name in two places; two comments on actions that a stand-in ignores said the same or too little.

Change: fnv1a in decisions serves both; a commit of another process is recorded by record_commit; the deadline is the minimum of two; the folder has a guard of its own; ProcessConfig::temporary_folder names the soak's folder. Behaviour, checks and tests are the same.

--- a/adapter/src/wire/actions.rs
+++ b/adapter/src/wire/actions.rs
@@ -36,8 +36,8 @@
         Action::CancelAttempt { id, attempt } => {
             writeln!(reply, "drop_attempt\t{router}\t{}\t{attempt}", instance.request_name(*id))
         }
-        // The protocol has no such message: in the simulator an attempt reaches its host at once.
-        // The protocol has no such messages.
+        // The protocol has no such messages: in the simulator an attempt reaches its host at once, and each
+        // proxy is one process.
         Action::WithdrawAttempt { .. } | Action::ShareWrite(_) => Ok(()),
         Action::HealthCheck { host } => writeln!(reply, "check\t{router}\t{}", instance.host_name(*host)),
         Action::CloseIdleConnections { host } => {
--- a/crates/decisions/src/interface/id.rs
+++ b/crates/decisions/src/interface/id.rs
@@ -20,7 +20,12 @@
 impl SessionId {
     /// Returns the identifier of the session with this key: its FNV-1a hash, the same in every process.
     pub fn of(key: &str) -> Self {
-        let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
-        Self(key.bytes().fold(FNV_OFFSET_BASIS, step))
+        Self(fnv1a(key.as_bytes()))
     }
 }
+
+/// Returns the 64-bit FNV-1a hash of `bytes`, the same in every process.
+pub fn fnv1a(bytes: &[u8]) -> u64 {
+    let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME);
+    bytes.iter().fold(FNV_OFFSET_BASIS, step)
+}
--- a/crates/decisions/src/interface/mod.rs
+++ b/crates/decisions/src/interface/mod.rs
@@ -16,7 +16,7 @@
 pub use endpoint::{EndpointEntry, EndpointUpdate, HostState, Role};
 pub use event::{AttemptResult, Event, LoadReport, Request};
 pub use freshness::{Freshness, LogPosition, ReadRequirement};
-pub use id::{HostId, RequestId, SessionId};
+pub use id::{fnv1a, HostId, RequestId, SessionId};
 pub use outcome::Outcome;
 pub use session_write::{SessionWrite, WriteProgress};
 pub use settings::{
--- a/crates/decisions/src/routing/shared_writes.rs
+++ b/crates/decisions/src/routing/shared_writes.rs
@@ -54,11 +54,12 @@
             }
             WriteProgress::Committed(position) => {
                 let commit = self.plausible_commit(position);
-                self.sessions.remote_write_ended(session, group, Some(commit), None);
+                self.sessions.record_commit(session, group, commit);
+                self.sessions.remote_write_ended(session, group, None);
             }
             WriteProgress::Ended { may_commit_for } => {
                 let until = may_commit_for.map(|span| self.now + span);
-                self.sessions.remote_write_ended(session, group, None, until);
+                self.sessions.remote_write_ended(session, group, until);
             }
         }
     }
--- a/crates/decisions/src/state/session_positions.rs
+++ b/crates/decisions/src/state/session_positions.rs
@@ -204,18 +204,14 @@
         self.remote_unconfirmed_writes.write_sent_until(session, group, now, until);
     }
 
-    /// Records the end of an attempt of a session's write by another process, as
-    /// [`write_ended`](Self::write_ended) does.
+    /// Records the end of an attempt of a session's write by another process. It may still commit until
+    /// `may_commit_until`; `None` means that its commit was recorded, or that it was never executed.
     pub fn remote_write_ended(
         &mut self,
         session: SessionId,
         group: u32,
-        commit: Option<LogPosition>,
         may_commit_until: Option<Timestamp>,
     ) {
-        if let Some(commit) = commit {
-            self.record_commit(session, group, commit);
-        }
         self.remote_unconfirmed_writes.write_ended(session, group, may_commit_until);
     }
 
--- a/crates/testbench/src/fleet.rs
+++ b/crates/testbench/src/fleet.rs
@@ -389,7 +389,8 @@
             Action::CloseIdleConnections { host } => {
                 drop(self.proxies[router].idle.remove(&(host.0 as usize)))
             }
-            // Attempts are never queued in the proxy here, so there is none to withdraw.
+            // Attempts are never queued in the proxy here, so there is none to withdraw; each proxy is one
+            // process.
             Action::WithdrawAttempt { .. } | Action::ShareWrite(_) => {}
             Action::Log(_) | Action::WatchEndpoints(_) | Action::FetchEndpoints => {}
         }
--- a/crates/testbench/src/rig.rs
+++ b/crates/testbench/src/rig.rs
@@ -51,24 +51,27 @@
     /// The proxy's memory budget.
     pub budget: Budget,
     control: mpsc::Sender<Control>,
-    /// The thread; `None` once it was joined.
-    thread: Option<JoinHandle<std::io::Result<()>>>,
-    temporary_folder: PathBuf,
+    thread: JoinHandle<std::io::Result<()>>,
+    _temporary_folder: TemporaryFolder,
 }
 
-impl Drop for ProxyThread {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.temporary_folder);
+/// A folder for the files of one proxy, removed when dropped.
+struct TemporaryFolder(PathBuf);
+
+impl TemporaryFolder {
+    fn create() -> std::io::Result<Self> {
+        static FOLDERS: AtomicU64 = AtomicU64::new(0);
+        let number = FOLDERS.fetch_add(1, Relaxed);
+        let folder = std::env::temp_dir().join(format!("wheelpier-lab-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        Ok(Self(folder))
     }
 }
 
-/// Creates a folder for the files of one proxy.
-fn new_folder() -> std::io::Result<PathBuf> {
-    static FOLDERS: AtomicU64 = AtomicU64::new(0);
-    let number = FOLDERS.fetch_add(1, Relaxed);
-    let folder = std::env::temp_dir().join(format!("wheelpier-lab-{}-{number}", std::process::id()));
-    std::fs::create_dir_all(&folder)?;
-    Ok(folder)
+impl Drop for TemporaryFolder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
 }
 
 impl Rig {
@@ -85,8 +88,7 @@
         });
         let operator =
             OperatorSettings::read(&operator_settings(spec.host_type), "the test bench's operator settings")?;
-        let mut config = Config::read(&config.to_string(), |_| None)?.with_operator(operator)?;
-        config.temporary_folder = new_folder()?;
+        let config = Config::read(&config.to_string(), |_| None)?.with_operator(operator)?;
         let proxy = ProxyThread::start(config).await?;
         Ok(Self { clock, installation, proxy })
     }
@@ -103,10 +105,11 @@
 }
 
 impl ProxyThread {
-    async fn start(config: Config) -> Result<Self, TestbenchError> {
+    async fn start(mut config: Config) -> Result<Self, TestbenchError> {
+        let temporary_folder = TemporaryFolder::create()?;
+        config.temporary_folder.clone_from(&temporary_folder.0);
         let (control, control_messages) = mpsc::channel(4);
         let (bound, started) = oneshot::channel();
-        let temporary_folder = config.temporary_folder.clone();
         let thread = std::thread::spawn(move || {
             runtime()?.block_on(async {
                 let proxy = Proxy::bind(config).await?;
@@ -115,17 +118,13 @@
             })
         });
         let (addresses, counters, budget) = started.await.map_err(|_| TestbenchError::Ended)?;
-        Ok(Self { addresses, counters, budget, control, thread: Some(thread), temporary_folder })
-    }
-
-    fn join(mut self) -> std::thread::Result<std::io::Result<()>> {
-        self.thread.take().map_or(Ok(Ok(())), JoinHandle::join)
+        Ok(Self { addresses, counters, budget, control, thread, _temporary_folder: temporary_folder })
     }
 
     /// Drains the proxy and waits for its end.
     pub async fn end(self) -> Result<(), TestbenchError> {
         let _ = self.control.send(Control::Drain).await;
-        let ended = tokio::task::spawn_blocking(move || self.join()).await;
+        let ended = tokio::task::spawn_blocking(move || self.thread.join()).await;
         match ended {
             Ok(Ok(ended)) => Ok(ended?),
             _ => Err(TestbenchError::Ended),
--- a/crates/testbench/src/soak/mod.rs
+++ b/crates/testbench/src/soak/mod.rs
@@ -349,8 +349,7 @@
         let name = format!("wheelpier-soak-{}-{}-{n}.json", std::process::id(), addresses[0].port());
         let file = std::env::temp_dir().join(name);
         std::fs::write(&file, config.to_string())?;
-        std::fs::create_dir_all(file.with_extension("tmp"))?;
-        Ok(ProcessConfig {
+        let config = ProcessConfig {
             program: program.clone(),
             fault_library: library.clone(),
             config_file: file,
@@ -359,7 +358,9 @@
             discovery: installation.discovery,
             syscall_faults: plan.syscall_faults[n].clone(),
             log_file: None,
-        })
+        };
+        std::fs::create_dir_all(config.temporary_folder())?;
+        Ok(config)
     };
     addresses.chunks_exact(2).enumerate().map(process_config).collect()
 }
--- a/src/net/frontend/client/startup.rs
+++ b/src/net/frontend/client/startup.rs
@@ -79,8 +79,8 @@
     /// Returns whether the latest bytes of the startup arrived when it was due to end: its time was over, a
     /// drain left no more time, or the connection was evicted.
     async fn is_startup_over(&self, eviction: Option<&Notify>) -> bool {
-        let drain_deadline = self.context.startup_deadline().filter(|_| self.context.is_draining());
-        let deadline = drain_deadline.into_iter().fold(self.state.startup_deadline(), Instant::min);
+        let deadline = self.state.startup_deadline();
+        let deadline = self.context.startup_deadline().map_or(deadline, |drain| drain.min(deadline));
         self.state.last_read_at >= deadline || is_ready(notified(eviction)).await
     }
 }
--- a/src/net/session_log/record.rs
+++ b/src/net/session_log/record.rs
@@ -4,14 +4,12 @@
 //! span of time), the Unix time of writing, the floor, the group, the kind, and a checksum of all that. A
 //! record that was never written, is partly overwritten or belongs to another number is not valid.
 
-use crate::interface::{LogPosition, SessionId, SessionWrite, TimeDelta, WriteProgress};
+use crate::interface::{fnv1a, LogPosition, SessionId, SessionWrite, TimeDelta, WriteProgress};
 
 /// Length of a record. No record crosses a page.
 pub(super) const RECORD_BYTES: usize = 64;
 /// Number of bytes at the front of a record that its checksum covers.
 const CHECKED_BYTES: usize = 48;
-const FNV_OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
-const FNV_PRIME: u64 = 0x0100_0000_01b3;
 
 /// Kinds of records.
 mod kind {
@@ -56,7 +54,7 @@
         ];
         let mut bytes = [0; RECORD_BYTES];
         bytes[..CHECKED_BYTES].copy_from_slice(fields.as_flattened());
-        let checksum = checksum(&bytes[..CHECKED_BYTES]).to_le_bytes();
+        let checksum = fnv1a(&bytes[..CHECKED_BYTES]).to_le_bytes();
         bytes[CHECKED_BYTES..CHECKED_BYTES + checksum.len()].copy_from_slice(&checksum);
         bytes
     }
@@ -66,7 +64,7 @@
         let (fields, _) = bytes.as_chunks::<8>();
         let field = |index: usize| u64::from_le_bytes(fields[index]);
         let checksum_index = CHECKED_BYTES / size_of::<u64>();
-        if field(0) != number || field(checksum_index) != checksum(&bytes[..CHECKED_BYTES]) {
+        if field(0) != number || field(checksum_index) != fnv1a(&bytes[..CHECKED_BYTES]) {
             return None;
         }
         let (value, group_and_kind) = (field(2) as i64, field(5));
@@ -99,9 +97,3 @@
         SessionWrite { progress, ..self.write }
     }
 }
-
-/// Returns the FNV-1a hash of `bytes`.
-fn checksum(bytes: &[u8]) -> u64 {
-    let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME);
-    bytes.iter().fold(FNV_OFFSET_BASIS, step)
-}
