Case 7: requests behind a long value that breaks off get no answer

Cause: a long value that its host breaks off ends the client's connection with its pipeline. Change: the case and its stand-ins.

--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -2,6 +2,7 @@
 
 #[allow(dead_code)]
 mod stand_ins;
+mod behind_value;
 mod late_repeat;
 
 use stand_ins::*;
@@ -39,6 +40,7 @@
     note(format!("case {name}, {}", if trouble() { "with the disruption" } else { "without the disruption" }));
     let play: fn(&Path) -> Verdict = match name.as_str() {
         "late-repeat" => late_repeat::play,
+        "behind-value" => behind_value::play,
         other => panic!("no case {other}"),
     };
     let verdict = play(&temporary);
