Case 8: memory goes over its limit when clients send many commands at once

Cause: the budget counts lengths where more is allocated, and doesn't enforce every purpose. Change: the case and its stand-ins.

--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -2,6 +2,7 @@
 
 #[allow(dead_code)]
 mod stand_ins;
+mod many_at_once;
 mod behind_value;
 mod late_repeat;
 
@@ -41,6 +42,7 @@
     let play: fn(&Path) -> Verdict = match name.as_str() {
         "late-repeat" => late_repeat::play,
         "behind-value" => behind_value::play,
+        "memory-limit" => many_at_once::play_memory_limit,
         other => panic!("no case {other}"),
     };
     let verdict = play(&temporary);
