Case 9: requests behind a statement that is refused for memory are thrown away

Cause: a statement that doesn't fit ends its connection with one error; what stands behind is discarded. Change: the case and its stand-ins.

--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -5,6 +5,7 @@
 mod many_at_once;
 mod behind_value;
 mod late_repeat;
+mod thrown_away;
 
 use stand_ins::*;
 use std::path::{Path, PathBuf};
@@ -43,6 +44,7 @@
         "late-repeat" => late_repeat::play,
         "behind-value" => behind_value::play,
         "memory-limit" => many_at_once::play_memory_limit,
+        "thrown-away" => thrown_away::play,
         other => panic!("no case {other}"),
     };
     let verdict = play(&temporary);
