--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -6,6 +6,7 @@
 mod behind_value;
 mod late_repeat;
 mod thrown_away;
+mod slow_value;
 
 use stand_ins::*;
 use std::path::{Path, PathBuf};
@@ -45,6 +46,7 @@
         "behind-value" => behind_value::play,
         "memory-limit" => many_at_once::play_memory_limit,
         "thrown-away" => thrown_away::play,
+        "slow-value" => slow_value::play,
         other => panic!("no case {other}"),
     };
     let verdict = play(&temporary);
