Case 8: a slowly read value is cut off at a planned restart

Cause: a connection is closed as idle while its last answer is still in the system's send buffer; the client's next request then resets it. Change: the case and its stand-ins.

--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -7,6 +7,7 @@
 mod late_repeat;
 mod thrown_away;
 mod slow_value;
+mod drained_answer;
 
 use stand_ins::*;
 use std::path::{Path, PathBuf};
@@ -47,6 +48,7 @@
         "memory-limit" => many_at_once::play_memory_limit,
         "thrown-away" => thrown_away::play,
         "slow-value" => slow_value::play,
+        "drained-answer" => drained_answer::play,
         other => panic!("no case {other}"),
     };
     let verdict = play(&temporary);
