--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -8,6 +8,7 @@
 mod thrown_away;
 mod slow_value;
 mod drained_answer;
+mod new_settings;
 
 use stand_ins::*;
 use std::path::{Path, PathBuf};
@@ -48,6 +49,7 @@
         "memory-limit" => many_at_once::play_memory_limit,
         "thrown-away" => thrown_away::play,
         "slow-value" => slow_value::play,
+        "new-settings" => new_settings::play,
         "drained-answer" => drained_answer::play,
         other => panic!("no case {other}"),
     };
--- a/review/stand-ins-2/stand_ins.rs
+++ b/review/stand-ins-2/stand_ins.rs
@@ -184,6 +184,15 @@
     }
 }
 
+impl Start<'_> {
+    /// Replaces the file that a running proxy reads at SIGHUP.
+    pub fn rewrite(&self, proxy: &Proxy) {
+        let next = proxy.config.with_extension("next");
+        std::fs::write(&next, self.config_text(proxy.console)).unwrap();
+        std::fs::rename(&next, &proxy.config).unwrap();
+    }
+}
+
 impl Proxy {
     pub fn signal(&self, signal: i32) {
         note(format!("signal {signal} to process {}", self.child.id()));
@@ -644,6 +653,10 @@
         bytes
     }
 
+    pub fn send_bytes(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes)
+    }
+
     pub fn send(&mut self, statement: &str) -> io::Result<()> {
         self.stream.write_all(&message(b'Q', format!("{statement}\0").as_bytes()))
     }
