Review: the case of a late repeat leaves, an earlier case shows it

Change: case 6 and its play leave; new-settings moves from 10 to 6. Result: none of the other plays has changed.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Case 6: a repeat of a keyed write is written after the window of its key
+# Case 6: a write under way is run twice as its class vanishes and appears again
 # Exit status: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0 leaves the disruption out.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
@@ -10,7 +10,7 @@
 fi
 temporary=$(mktemp -d) || exit 2
 trap 'rm -rf "$temporary"' EXIT
-ROOT="$root" timeout -k 2 115 "$cases" late-repeat "$here" "$temporary"
+ROOT="$root" timeout -k 2 115 "$cases" new-settings "$here" "$temporary"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -1,14 +1,13 @@
 //! The cases 6 to 10: `cases NAME FOLDER` plays one, with `record.txt` in FOLDER.
 
-#[allow(dead_code)]
-mod stand_ins;
-mod many_at_once;
 mod behind_value;
-mod late_repeat;
-mod thrown_away;
-mod slow_value;
 mod drained_answer;
+mod many_at_once;
 mod new_settings;
+mod slow_value;
+mod thrown_away;
+#[allow(dead_code)]
+mod stand_ins;
 
 use stand_ins::*;
 use std::path::{Path, PathBuf};
@@ -44,7 +43,6 @@
     limit_time(100);
     note(format!("case {name}, {}", if trouble() { "with the disruption" } else { "without the disruption" }));
     let play: fn(&Path) -> Verdict = match name.as_str() {
-        "late-repeat" => late_repeat::play,
         "behind-value" => behind_value::play,
         "memory-limit" => many_at_once::play_memory_limit,
         "thrown-away" => thrown_away::play,
