Case 10: requests that were read whole get no answer as a drain ends

Cause: what stands in the read buffer behind a full pipeline is dropped when a drain ends a connection.

--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -2,6 +2,7 @@
 
 mod behind_value;
 mod drained_answer;
+mod hung_drain;
 mod many_at_once;
 mod new_settings;
 mod slow_value;
@@ -49,6 +50,7 @@
         "slow-value" => slow_value::play,
         "new-settings" => new_settings::play,
         "drained-answer" => drained_answer::play,
+        "hung-drain" => hung_drain::play,
         other => panic!("no case {other}"),
     };
     let verdict = play(&temporary);
