--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -4,6 +4,7 @@
 mod drained_answer;
 mod hung_drain;
 mod many_at_once;
+mod missing_key;
 mod new_settings;
 mod slow_value;
 mod thrown_away;
@@ -51,6 +52,7 @@
         "new-settings" => new_settings::play,
         "drained-answer" => drained_answer::play,
         "hung-drain" => hung_drain::play,
+        "missing-key" => missing_key::play,
         other => panic!("no case {other}"),
     };
     let verdict = play(&temporary);
--- a/review/stand-ins-2/stand_ins.rs
+++ b/review/stand-ins-2/stand_ins.rs
@@ -484,12 +484,19 @@
     pub name: String,
     pub address: SocketAddr,
     pub is_primary: bool,
+    trail_ms: f64,
+    copy_age_ms: f64,
+    started: Instant,
     connections: AtomicU64,
 }
 
 /// Options of a host.
 pub struct HostOptions {
     pub is_primary: bool,
+    /// How far a replica's data trail the primary's, in milliseconds.
+    pub trail_ms: f64,
+    /// Age of the copy from which a replica starts, in milliseconds; it catches up one second in a second.
+    pub copy_age_ms: f64,
     /// Segment size and receive buffer of its connections; loopback's own if `None`.
     pub segments: Option<(i32, i32)>,
     pub pace: Arc<Pace>,
@@ -497,7 +504,7 @@
 
 impl Default for HostOptions {
     fn default() -> Self {
-        Self { is_primary: true, segments: None, pace: Arc::new(|_, _| {}) }
+        Self { is_primary: true, trail_ms: 20.0, copy_age_ms: 0.0, segments: None, pace: Arc::new(|_, _| {}) }
     }
 }
 
@@ -510,7 +517,7 @@
         let number = NEXT_HOST.fetch_add(1, SeqCst) as u8;
         let address = std::net::Ipv4Addr::new(127, 1 + a % 250, b ^ c, 1 + number);
         let listener = TcpListener::bind((address, 0)).unwrap();
-        let HostOptions { is_primary, segments, pace } = options;
+        let HostOptions { is_primary, trail_ms, copy_age_ms, segments, pace } = options;
         if let Some((segment, buffer)) = segments {
             let socket = listener.as_raw_fd();
             unsafe {
@@ -519,7 +526,8 @@
             }
         }
         let address = listener.local_addr().unwrap();
-        let host = Arc::new(Self { name: name.to_owned(), address, is_primary, connections: AtomicU64::new(0) });
+        let (name, started, connections) = (name.to_owned(), Instant::now(), AtomicU64::new(0));
+        let host = Arc::new(Self { name, address, is_primary, trail_ms, copy_age_ms, started, connections });
         let this = Arc::clone(&host);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -565,15 +573,21 @@
         }
     }
 
-    /// The applied position: the present at a primary, 20 ms ago at a replica.
-    fn position_ms(&self) -> f64 {
-        unix_ms() - if self.is_primary { 0.0 } else { 20.0 }
+    /// The applied position: the present at a primary, a while ago at a replica.
+    pub fn position_ms(&self) -> f64 {
+        let trail_ms = self.trail_ms.max(self.copy_age_ms - self.started.elapsed().as_secs_f64() * 1e3);
+        unix_ms() - if self.is_primary { 0.0 } else { trail_ms }
     }
 
     /// Appends what ends every answer: role, position, ReadyForQuery.
-    pub fn end(&self, mut answer: Vec<u8>) -> Vec<u8> {
+    pub fn end(&self, answer: Vec<u8>) -> Vec<u8> {
+        self.end_at(answer, self.position_ms().floor())
+    }
+
+    /// The same with a given position.
+    pub fn end_at(&self, mut answer: Vec<u8>, position_ms: f64) -> Vec<u8> {
         answer.extend(parameter("role", if self.is_primary { "primary" } else { "replica" }));
-        answer.extend(parameter("applied_ms", &format!("{:.0}", self.position_ms().floor())));
+        answer.extend(parameter("applied_ms", &format!("{position_ms:.0}")));
         answer.extend(ready());
         answer
     }
