--- a/review/stand-ins-2/missing_key.rs
+++ b/review/stand-ins-2/missing_key.rs
@@ -47,6 +47,7 @@
         if matches!(reply, Reply::Broken(..)) {
             return Ok(());
         }
+        note(format!("session {name}: {id} write {value}, {}", if matches!(reply, Reply::Served(_)) { "served" } else { "not served" }));
         if !matches!(reply, Reply::Served(_)) {
             counts.unserved.fetch_add(1, SeqCst);
             note(format!("session {name}: write {value}: {}", reply.text()));
@@ -65,9 +66,10 @@
             match &reply {
                 Reply::Served(bytes) if bytes.len() == 8 => {
                     let read = u64::from_be_bytes(bytes[..].try_into().unwrap());
+                    note(format!("session {name}: {id} read {read}, served"));
                     if read < value {
                         counts.stale.fetch_add(1, SeqCst);
-                        note(format!("session {name}: {id}: reads {read}, {after} ms after its write of {value} was served"));
+                        note(format!("session {name}: STALE, {id} read {read}, {after} ms after its write of {value} was served"));
                     }
                 }
                 _ => drop(counts.unserved.fetch_add(1, SeqCst)),
@@ -97,6 +99,9 @@
             (known.map_or(0, |(_, number)| *number), position)
         };
         drop(commits);
+        let (id, name) = (query.field("id"), &host.name);
+        let what = if query.is_write { "commits" } else { "reads" };
+        note(format!("{name}: {id} {what} {value} of {}, at {:.1} s", query.name, position / 1e3));
         let tag = if query.is_write { "INSERT 0 1" } else { "SELECT 1" };
         connection.send(&host.end_at(row(&value.to_be_bytes(), tag), position)).map(|()| true)
     };
